--- /dev/null
+++ b/internal/admission/queries.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// Load is the state of a gate at one moment.
+type Load struct {
+	// Slots is how many requests may run.
+	Slots int
+	// Used is how many run.
+	Used int
+	// Queued is how many wait.
+	Queued int
+	// MeanService is the moving mean of service times.
+	MeanService time.Duration
+	// Busy integrates used slots over time since the start, in slot-seconds.
+	Busy float64
+}
+
+// Load returns the present state.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.integrate()
+	return Load{
+		Slots:       g.slots,
+		Used:        g.used,
+		Queued:      g.queued(),
+		MeanService: g.meanService,
+		Busy:        g.busy / float64(time.Second),
+	}
+}
+
+// ExpectedWait returns how long a request of the kind would wait for a slot.
+func (g *Gate) ExpectedWait(kind request.Kind) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.expectedWait(classOf(kind))
+}
+
+func (g *Gate) expectedWait(c class) time.Duration {
+	ahead := 0
+	for i := range c + 1 {
+		ahead += len(g.waiting[i])
+	}
+	if g.used < g.slots && ahead == 0 {
+		return 0
+	}
+	return g.meanService * time.Duration(ahead+1) / time.Duration(max(g.slots, 1))
+}
+
+func (g *Gate) queued() int {
+	n := 0
+	for _, q := range g.waiting {
+		n += len(q)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/agent/queries.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/load"
+	"github.com/bergamotgw/bergamotgw/internal/relay"
+	"github.com/bergamotgw/bergamotgw/internal/section"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// State returns whether the agent takes work.
+func (a *Agent) State() load.State {
+	a.mu.Lock()
+	leaving := !a.drainingSince.IsZero()
+	unlisted := a.section.Revision > 0 && !a.listed
+	a.mu.Unlock()
+	if leaving || unlisted || a.monitor.Draining() {
+		return load.Draining
+	}
+	if !a.monitor.Up() {
+		return load.Down
+	}
+	return load.Up
+}
+
+// Report returns the load that peers are told.
+func (a *Agent) Report() load.Report {
+	l := a.gate.Load()
+	return load.Report{
+		Agent:             a.config.Listen,
+		State:             a.State(),
+		Slots:             l.Slots,
+		Used:              l.Used,
+		Queued:            l.Queued,
+		MeanServiceMicros: l.MeanService.Microseconds(),
+		Utilisation:       a.usage.value(),
+	}
+}
+
+// Flows returns the number of open flows.
+func (a *Agent) Flows() int {
+	return a.work.flows()
+}
+
+// Requests returns how many requests of each kind are in progress.
+func (a *Agent) Requests() map[request.Kind]int {
+	return a.work.count()
+}
+
+// RelayCounts returns the live counters of the relay.
+func (a *Agent) RelayCounts() *relay.Counts {
+	return a.relay.Counts()
+}
+
+// Section returns the section in force.
+func (a *Agent) Section() section.Section {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.section
+}
+
+func (a *Agent) grace() time.Duration {
+	return a.Section().Limits.Grace()
+}
+
+func (a *Agent) drainStart() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.drainingSince
+}
+
+func (a *Agent) connectionLimit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.endpoint.Connections
+}
+
+// serviceAddress returns an address of the service for the PROXY header.
+func (a *Agent) serviceAddress() netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.section.Addresses) == 0 {
+		return a.config.Listen
+	}
+	return a.section.Addresses[0]
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,134 @@
+// Package balancer forwards datagrams between the fabric and the agents
+// without any state per flow.
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/connid"
+	"github.com/bergamotgw/bergamotgw/internal/envelope"
+	"github.com/bergamotgw/bergamotgw/internal/routes"
+)
+
+// socketBufferBytes is the size of the kernel's receive and send buffers.
+const socketBufferBytes = 4 << 20
+
+// Balancer forwards datagrams. It is safe for concurrent use.
+type Balancer struct {
+	front  *net.UDPConn
+	back   *net.UDPConn
+	fabric netip.AddrPort
+	via    netip.AddrPort
+	// agentNetworks are the only destinations of established flows.
+	agentNetworks []netip.Prefix
+	// codec and table are never nil; they are replaced, not changed.
+	codec atomic.Pointer[connid.Codec]
+	table atomic.Pointer[routes.Table]
+	// drops are indexed by Reason.
+	drops  [reasons]atomic.Uint64
+	counts Counts
+}
+
+// Counts are the datagrams forwarded since the start.
+type Counts struct {
+	// Established counts datagrams routed by connection ID.
+	Established atomic.Uint64
+	// NewFlow counts datagrams routed by rendezvous.
+	NewFlow atomic.Uint64
+	// Answers counts datagrams from agents to callers.
+	Answers atomic.Uint64
+}
+
+// Config are the parameters of a balancer.
+type Config struct {
+	// Front takes datagrams from the fabric.
+	Front netip.AddrPort
+	// Fabric takes answers.
+	Fabric netip.AddrPort
+	// Back exchanges datagrams with agents.
+	Back netip.AddrPort
+	// AgentNetworks are the networks that agents may be in; never empty.
+	AgentNetworks []netip.Prefix
+	// Codec opens connection IDs.
+	Codec *connid.Codec
+	// Table is the first routing table.
+	Table *routes.Table
+}
+
+// NewBalancer opens the sockets of a balancer.
+func NewBalancer(c Config) (*Balancer, error) {
+	front, err := listen(c.Front)
+	if err != nil {
+		return nil, merry.Prepend(err, "front")
+	}
+	back, err := listen(c.Back)
+	if err != nil {
+		_ = front.Close()
+		return nil, merry.Prepend(err, "back")
+	}
+	b := &Balancer{
+		front:         front,
+		back:          back,
+		fabric:        c.Fabric,
+		via:           localAddr(back),
+		agentNetworks: c.AgentNetworks,
+	}
+	b.codec.Store(c.Codec)
+	b.table.Store(c.Table)
+	return b, nil
+}
+
+// SetTable replaces the routing table.
+func (b *Balancer) SetTable(t *routes.Table) {
+	b.table.Store(t)
+}
+
+// SetCodec replaces the connection ID keys.
+func (b *Balancer) SetCodec(c *connid.Codec) {
+	b.codec.Store(c)
+}
+
+// Counts returns the live counters.
+func (b *Balancer) Counts() *Counts {
+	return &b.counts
+}
+
+// Run forwards datagrams with the given number of tasks in each direction
+// until the context ends.
+func (b *Balancer) Run(ctx context.Context, tasks int) {
+	var wg sync.WaitGroup
+	for range tasks {
+		wg.Go(func() { b.forwardLoop(b.front, envelope.MaxLen-envelope.MinLen, b.toAgent) })
+		wg.Go(func() { b.forwardLoop(b.back, 0, b.toCaller) })
+	}
+	<-ctx.Done()
+	_ = b.front.Close()
+	_ = b.back.Close()
+	wg.Wait()
+}
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	_ = c.SetReadBuffer(socketBufferBytes)
+	_ = c.SetWriteBuffer(socketBufferBytes)
+	return c, nil
+}
+
+func localAddr(c *net.UDPConn) netip.AddrPort {
+	a := c.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+func (b *Balancer) permitted(a netip.Addr) bool {
+	return lo.ContainsBy(b.agentNetworks, func(n netip.Prefix) bool { return n.Contains(a) })
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,144 @@
+// Package cli is the command line of the bergamotgw program.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw"
+	"github.com/bergamotgw/bergamotgw/internal/logs"
+	"github.com/bergamotgw/bergamotgw/internal/settings"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// commands are the commands of the program.
+type commands struct {
+	Balancer balancerCommand `cmd:"" help:"Run a balancer, which forwards datagrams between the fabric and agents."`
+	Agent    agentCommand    `cmd:"" help:"Run an agent, which ends flows beside a backend server."`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	exit := exitOK
+	parser, err := kong.New(&c,
+		kong.Name("bergamotgw"),
+		kong.Description("A layer-4 load balancer without shared state."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exit = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		parser.FatalIfErrorf(err)
+		return max(exit, exitFailed)
+	}
+	if ctx.Command() == "" {
+		return exit
+	}
+	ctx.BindTo(stdout, (*io.Writer)(nil))
+	if err := ctx.Run(); err != nil {
+		_, _ = fmt.Fprintln(stderr, "bergamotgw:", err)
+		return exitFailed
+	}
+	return exit
+}
+
+type balancerCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file, JSON."`
+}
+
+// Run runs a balancer until it is told to leave.
+func (c *balancerCommand) Run() error {
+	s, err := settings.Load[settings.Balancer](c.Settings)
+	if err != nil {
+		return err
+	}
+	log := logs.NewLogger(os.Stderr, s.Log).With().Str("vm", s.Name).Logger()
+	b, err := bergamotgw.NewBalancer(s, bergamotgw.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	return serve(b, log, func() (settings.Log, error) {
+		s, err := settings.Load[settings.Balancer](c.Settings)
+		return s.Log, err
+	})
+}
+
+type agentCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file, JSON."`
+}
+
+// Run runs an agent until it is told to leave and has finished.
+func (c *agentCommand) Run() error {
+	s, err := settings.Load[settings.Agent](c.Settings)
+	if err != nil {
+		return err
+	}
+	log := logs.NewLogger(os.Stderr, s.Log).With().Str("vm", s.Name).Logger()
+	a, err := bergamotgw.NewAgent(s, bergamotgw.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	return serve(a, log, func() (settings.Log, error) {
+		s, err := settings.Load[settings.Agent](c.Settings)
+		return s.Log, err
+	})
+}
+
+// serve runs a process under signals: the first SIGTERM or SIGINT drains, the
+// second stops at once, SIGHUP reloads.
+func serve(p bergamotgw.Process, log zerolog.Logger, readLog func() (settings.Log, error)) error {
+	ctx, drain := context.WithCancel(context.Background())
+	defer drain()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(p, log, readLog)
+				continue
+			}
+			if ctx.Err() != nil {
+				log.Warn().Str("event", "stoppedAtOnce").Send()
+				return nil
+			}
+			drain()
+		}
+	}
+}
+
+func reload(p bergamotgw.Process, log zerolog.Logger, readLog func() (settings.Log, error)) {
+	l, err := readLog()
+	if err == nil {
+		logs.SetLevel(l)
+		err = p.Reload()
+	}
+	if err != nil {
+		log.Error().Str("event", "reloadFailed").Err(err).Send()
+		return
+	}
+	log.Info().Str("event", "reloaded").Send()
+}
--- /dev/null
+++ b/internal/envelope/envelope.go
@@ -0,0 +1,142 @@
+// Package envelope encodes the header that precedes every QUIC datagram between
+// the fabric, the balancers and the agents.
+package envelope
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// version is the first byte of every envelope.
+const version = 0xb1
+
+// Sizes, in bytes.
+const (
+	// MaxCandidates is the longest list of agents carried with a new flow.
+	MaxCandidates = 6
+	// MinLen is the length of an envelope without candidates.
+	MinLen = 1 + 3*addrLen + 4 + 3
+	// MaxLen is the length of an envelope with a full list of candidates.
+	MaxLen = MinLen + MaxCandidates*addrLen
+
+	addrLen = 6
+)
+
+// Offsets of the fixed fields.
+const (
+	callerOffset  = 1
+	addressOffset = callerOffset + addrLen
+	viaOffset     = addressOffset + addrLen
+	serviceOffset = viaOffset + addrLen
+	hopsOffset    = serviceOffset + 4
+	countOffset   = hopsOffset + 1
+	flagsOffset   = countOffset + 1
+)
+
+// newFlowFlag marks datagrams that may open a flow.
+const newFlowFlag = 1
+
+// Envelope tells whose datagram follows and, for a new flow, which agents may
+// take it. All addresses are IPv4.
+type Envelope struct {
+	// Caller is the address of the caller's socket.
+	Caller netip.AddrPort
+	// Address is the service address that the caller uses.
+	Address netip.AddrPort
+	// Via is the balancer that received the datagram, or that an answer should
+	// take; unset between fabric and balancer.
+	Via netip.AddrPort
+	// Service is the numeric identity of the service; 0 between fabric and balancer.
+	Service uint32
+	// Hops counts the agents that passed a new flow on; never above Count.
+	Hops uint8
+	// Count is the number of valid candidates.
+	Count uint8
+	// NewFlow is true if the datagram carries no connection ID of an agent.
+	NewFlow bool
+	// Candidates lists the agents in order of preference.
+	Candidates [MaxCandidates]netip.AddrPort
+}
+
+// WithHop returns a copy that was passed on once more.
+func (e Envelope) WithHop() Envelope {
+	e.Hops++
+	return e
+}
+
+// WithCandidate returns a copy with one more candidate. A full list is left as it is.
+func (e Envelope) WithCandidate(agent netip.AddrPort) Envelope {
+	if e.Count < MaxCandidates {
+		e.Candidates[e.Count] = agent
+		e.Count++
+	}
+	return e
+}
+
+// Next returns the agent that follows in the list, and false at its end.
+func (e Envelope) Next() (netip.AddrPort, bool) {
+	if e.Hops+1 >= e.Count {
+		return netip.AddrPort{}, false
+	}
+	return e.Candidates[e.Hops+1], true
+}
+
+// Len returns the encoded length, in bytes.
+func (e *Envelope) Len() int {
+	return MinLen + int(e.Count)*addrLen
+}
+
+// Put encodes the envelope into b, which must hold Len bytes.
+func (e *Envelope) Put(b []byte) {
+	b[0] = version
+	putAddr(b[callerOffset:], e.Caller)
+	putAddr(b[addressOffset:], e.Address)
+	putAddr(b[viaOffset:], e.Via)
+	binary.BigEndian.PutUint32(b[serviceOffset:], e.Service)
+	b[hopsOffset] = e.Hops
+	b[countOffset] = e.Count
+	b[flagsOffset] = 0
+	if e.NewFlow {
+		b[flagsOffset] = newFlowFlag
+	}
+	for i := range int(e.Count) {
+		putAddr(b[MinLen+i*addrLen:], e.Candidates[i])
+	}
+}
+
+// Parse decodes an envelope and returns the datagram behind it, which aliases b.
+// It returns false for anything that Put does not produce.
+func Parse(b []byte) (e Envelope, datagram []byte, ok bool) {
+	if len(b) < MinLen || b[0] != version || b[flagsOffset] > newFlowFlag {
+		return Envelope{}, nil, false
+	}
+	e = Envelope{
+		Caller:  addr(b[callerOffset:]),
+		Address: addr(b[addressOffset:]),
+		Via:     addr(b[viaOffset:]),
+		Service: binary.BigEndian.Uint32(b[serviceOffset:]),
+		Hops:    b[hopsOffset],
+		Count:   b[countOffset],
+		NewFlow: b[flagsOffset] == newFlowFlag,
+	}
+	if e.Count > MaxCandidates || e.Hops > e.Count || len(b) < e.Len() {
+		return Envelope{}, nil, false
+	}
+	for i := range int(e.Count) {
+		e.Candidates[i] = addr(b[MinLen+i*addrLen:])
+	}
+	return e, b[e.Len():], true
+}
+
+func putAddr(b []byte, a netip.AddrPort) {
+	var ip [4]byte
+	if a.IsValid() {
+		ip = a.Addr().As4()
+	}
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[4:], a.Port())
+}
+
+func addr(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+}
--- /dev/null
+++ b/internal/handover/client.go
@@ -0,0 +1,103 @@
+package handover
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bergamotgw/bergamotgw/internal/chunked"
+	"github.com/bergamotgw/bergamotgw/internal/frame"
+	"github.com/bergamotgw/bergamotgw/internal/peerport"
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+)
+
+// ErrExpired is returned by a commit that comes too late. The request was not run.
+var ErrExpired = merry.Sentinel("reservation expired")
+
+// Reservation is a slot at a peer that was granted and not yet used.
+type Reservation struct {
+	clock   clockwork.Clock
+	conn    net.Conn
+	granted time.Time
+}
+
+// Reserve asks the peer for a slot. Every error and every refusal means that
+// the request was not run. The reservation must be committed or withdrawn.
+func Reserve(ctx context.Context, clock clockwork.Clock, peer netip.AddrPort, o Offer) (*Reservation, answer.Preface, error) {
+	d := net.Dialer{Timeout: connectTimeout}
+	c, err := d.DialContext(ctx, "tcp4", peer.String())
+	if err != nil {
+		return nil, answer.Preface{}, merry.Prepend(err, "connect to peer")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	a, err := ask(c, o)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil || !a.Granted {
+		_ = c.Close()
+		return nil, a, err
+	}
+	return &Reservation{clock: clock, conn: c, granted: clock.Now()}, a, nil
+}
+
+func ask(c net.Conn, o Offer) (answer.Preface, error) {
+	wait := time.Duration(o.WaitMs) * time.Millisecond
+	_ = c.SetDeadline(time.Now().Add(wait + answerMargin))
+	if _, err := c.Write([]byte{byte(peerport.Handover)}); err != nil {
+		return answer.Preface{}, merry.Prepend(err, "ask peer")
+	}
+	if err := frame.Write(c, o); err != nil {
+		return answer.Preface{}, merry.Prepend(err, "ask peer")
+	}
+	a, err := frame.Read[answer.Preface](c)
+	return a, merry.Prepend(err, "answer of peer")
+}
+
+// Commit starts the request at the peer. After ErrExpired, here or from the
+// first read, the request was not run.
+func (r *Reservation) Commit() (*Execution, error) {
+	if r.clock.Since(r.granted) > LeaseTime-commitMargin {
+		r.Withdraw()
+		return nil, ErrExpired
+	}
+	_ = r.conn.SetDeadline(time.Time{})
+	if _, err := r.conn.Write([]byte{commitByte}); err != nil {
+		r.Withdraw()
+		return nil, merry.Prepend(err, "commit")
+	}
+	return &Execution{Conn: chunked.NewConn(r.conn), status: r.conn}, nil
+}
+
+// Withdraw gives the slot back unused.
+func (r *Reservation) Withdraw() {
+	_ = r.conn.Close()
+}
+
+// Execution carries the bytes of a request that runs at a peer.
+type Execution struct {
+	*chunked.Conn
+	// status yields the status byte; nil once it was read.
+	status io.Reader
+}
+
+// Read reads the answer. It returns ErrExpired if the peer refused the commit.
+func (e *Execution) Read(p []byte) (int, error) {
+	if e.status == nil {
+		return e.Conn.Read(p)
+	}
+	var b [1]byte
+	if _, err := io.ReadFull(e.status, b[:]); err != nil {
+		return 0, chunked.ErrCut
+	}
+	if b[0] != startedByte {
+		return 0, ErrExpired
+	}
+	e.status = nil
+	return e.Conn.Read(p)
+}
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,46 @@
+// Package handover moves one request from the agent that holds the flow to a
+// peer agent of the same service. The peer reserves a slot first and gets no
+// byte of the request before both sides committed, so a lost or expired
+// reservation proves that the request was not run.
+package handover
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// Timing of a reservation.
+const (
+	// LeaseTime is how long a peer keeps a granted reservation without commit.
+	LeaseTime = 2 * time.Second
+	// commitMargin is how much earlier the holder of the flow gives up.
+	commitMargin = 500 * time.Millisecond
+	// connectTimeout bounds the TCP handshake with a peer.
+	connectTimeout = 500 * time.Millisecond
+	// answerMargin is added to the wait for a slot to bound the wait for the answer.
+	answerMargin = time.Second
+)
+
+// Bytes that settle a granted reservation.
+const (
+	// commitByte starts the request.
+	commitByte = 'C'
+	// startedByte confirms the commit and precedes the answer.
+	startedByte = 'S'
+	// expiredByte refuses a commit that came after the lease; the request was not run.
+	expiredByte = 'X'
+)
+
+// Offer asks a peer to reserve a slot.
+type Offer struct {
+	// Preface is the caller's request preface.
+	Preface request.Preface `cbor:"1,keyasint"`
+	// Caller is the caller's address, as text.
+	Caller netip.AddrPort `cbor:"2,keyasint"`
+	// Address is the service address, as text.
+	Address netip.AddrPort `cbor:"3,keyasint"`
+	// WaitMs is how long the request may wait for a slot, in milliseconds.
+	WaitMs uint32 `cbor:"4,keyasint"`
+}
--- /dev/null
+++ b/internal/handover/server.go
@@ -0,0 +1,74 @@
+package handover
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/chunked"
+	"github.com/bergamotgw/bergamotgw/internal/frame"
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+)
+
+// offerTimeout bounds the wait for the offer on a new connection.
+const offerTimeout = 2 * time.Second
+
+// Server grants reservations at one agent.
+type Server struct {
+	// Acquire takes a slot, or gives the reason for a refusal.
+	Acquire func(ctx context.Context, o Offer) (Slot, answer.Reason)
+	// VM is the name of the backend server VM, for answers.
+	VM string
+}
+
+// Slot is the right to run one request.
+type Slot interface {
+	// Run passes the request to the backend server and the answer back.
+	Run(ctx context.Context, c *chunked.Conn)
+	// Release gives the slot back. It is called once, after Run if there was one.
+	Release()
+}
+
+// Serve handles one connection from a peer.
+func (s *Server) Serve(ctx context.Context, c net.Conn) {
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(offerTimeout))
+	o, err := frame.Read[Offer](c)
+	if err != nil || o.Preface.Check() != nil {
+		_ = frame.Write(c, answer.Preface{Reason: answer.BadPreface, VM: s.VM})
+		return
+	}
+	slot, reason := s.acquire(ctx, o)
+	if reason != "" {
+		_ = frame.Write(c, answer.Preface{Reason: reason, VM: s.VM})
+		return
+	}
+	defer slot.Release()
+	if s.grant(c) {
+		slot.Run(ctx, chunked.NewConn(c))
+	}
+}
+
+func (s *Server) acquire(ctx context.Context, o Offer) (Slot, answer.Reason) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.WaitMs)*time.Millisecond)
+	defer cancel()
+	return s.Acquire(ctx, o)
+}
+
+// grant reports whether the peer commits before the lease runs out. The read
+// deadline is monotonic, so a process that wakes up late finds it exceeded.
+func (s *Server) grant(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(LeaseTime))
+	if err := frame.Write(c, answer.Preface{Granted: true, VM: s.VM}); err != nil {
+		return false
+	}
+	var b [1]byte
+	if _, err := io.ReadFull(c, b[:]); err != nil || b[0] != commitByte {
+		_, _ = c.Write([]byte{expiredByte})
+		return false
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	_, err := c.Write([]byte{startedByte})
+	return err == nil
+}
--- /dev/null
+++ b/internal/lab/load/result.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Result is what was counted.
+type Result struct {
+	// Kinds are the requests, by service and kind.
+	Kinds []Kind `json:"kinds"`
+	// Sessions are the sessions, by service.
+	Sessions []Sessions `json:"sessions"`
+	// Outcomes are the verdicts of single requests.
+	Outcomes []Outcome `json:"-"`
+}
+
+// Kind counts the requests of one kind to one service.
+type Kind struct {
+	// Service and Kind identify the row.
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+	// Sent counts requests, without retries.
+	Sent int `json:"sent"`
+	// Ran counts whole answers to the right request.
+	Ran int `json:"ran"`
+	// NotRun counts refusals and flows that could not be opened.
+	NotRun int `json:"notRun"`
+	// MayHaveRun counts requests without proof either way.
+	MayHaveRun int `json:"mayHaveRun"`
+	// Mismatched counts whole answers to another request.
+	Mismatched int `json:"mismatched"`
+	// Retries counts further tries of requests that ran.
+	Retries int `json:"retries"`
+	// Reasons counts the refusals by reason.
+	Reasons map[string]int `json:"reasons,omitempty"`
+	// Latency is that of requests that ran.
+	Latency Percentiles `json:"latency"`
+}
+
+// Sessions counts the sessions of one service.
+type Sessions struct {
+	// Service identifies the row.
+	Service string `json:"service"`
+	// Opened counts sessions, with successors.
+	Opened int `json:"opened"`
+	// Moved counts sessions that went to a successor in good order.
+	Moved int `json:"moved"`
+	// Broken counts sessions that ended without being asked to move.
+	Broken int `json:"broken"`
+	// Refused counts failed attempts to open a session.
+	Refused int `json:"refused"`
+	// Missing and Twice count records that were skipped or came again.
+	Missing uint64 `json:"missing"`
+	Twice   uint64 `json:"twice"`
+}
+
+// Outcome is the verdict on one request.
+type Outcome struct {
+	// ID identifies the request; it is the idempotency key as well.
+	ID string `json:"id"`
+	// Service and Kind describe the request.
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+	// Verdict is ran, notRun or mayHaveRun.
+	Verdict string `json:"verdict"`
+	// Text is the error, if any.
+	Text string `json:"text,omitempty"`
+}
+
+// Percentiles of a latency, in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50Ms"`
+	P90 float64 `json:"p90Ms"`
+	P99 float64 `json:"p99Ms"`
+	Max float64 `json:"maxMs"`
+}
+
+// Write writes the result as text for people.
+func (r Result) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "service\tkind\tsent\tran\tnotRun\tmayHaveRun\tmismatched\tretries\tp50 ms\tp99 ms\tmax ms\t")
+	for _, k := range r.Kinds {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", k.Service, k.Kind, k.Sent, k.Ran, k.NotRun,
+			k.MayHaveRun, k.Mismatched, k.Retries, k.Latency.P50, k.Latency.P99, k.Latency.Max)
+	}
+	_, _ = fmt.Fprintln(t, "\nservice\tsessions opened\tmoved\tbroken\trefused\trecords missing\ttwice\t")
+	for _, s := range r.Sessions {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", s.Service, s.Opened, s.Moved, s.Broken, s.Refused, s.Missing, s.Twice)
+	}
+	return t.Flush()
+}
+
+func (r Result) sort() {
+	slices.SortFunc(r.Kinds, func(a, b Kind) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	slices.SortFunc(r.Sessions, func(a, b Sessions) int { return cmp.Compare(a.Service, b.Service) })
+}
+
+func percentiles(latencies []time.Duration) Percentiles {
+	if len(latencies) == 0 {
+		return Percentiles{}
+	}
+	sorted := slices.Sorted(slices.Values(latencies))
+	at := func(share float64) float64 {
+		i := min(int(share*float64(len(sorted))), len(sorted)-1)
+		return float64(sorted[i].Microseconds()) / 1000
+	}
+	return Percentiles{P50: at(0.5), P90: at(0.9), P99: at(0.99), Max: at(1)}
+}
--- /dev/null
+++ b/internal/lab/load/tally.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/pkg/caller"
+	"github.com/bergamotgw/bergamotgw/pkg/verdict"
+)
+
+// tally collects outcomes.
+type tally struct {
+	mu       sync.Mutex
+	kinds    map[kindKey]*kindTally
+	sessions map[string]*Sessions
+	outcomes []Outcome
+}
+
+type kindKey struct {
+	service string
+	kind    string
+}
+
+type kindTally struct {
+	result    Kind
+	latencies []time.Duration
+}
+
+func newTally() *tally {
+	return &tally{kinds: make(map[kindKey]*kindTally), sessions: make(map[string]*Sessions)}
+}
+
+// ended notes the outcome of a request.
+func (t *tally) ended(service string, x drawn, a caller.Answer, err error, latency time.Duration) {
+	v, reason := verdict.Ran, ""
+	var failure *caller.Error
+	if errors.As(err, &failure) {
+		v, reason = failure.Verdict, string(failure.Reason)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes = append(t.outcomes, Outcome{ID: x.wire.ID, Service: service, Kind: string(x.kind), Verdict: v.String(), Text: errorText(err)})
+	k := t.kind(service, string(x.kind))
+	k.result.Sent++
+	k.result.Retries += max(a.Tries-1, 0)
+	switch {
+	case v == verdict.NotRun:
+		k.result.NotRun++
+		k.reason(reason)
+	case v == verdict.MayHaveRun:
+		k.result.MayHaveRun++
+	case !x.wire.Answers(a.Body):
+		k.result.Mismatched++
+	default:
+		k.result.Ran++
+		k.latencies = append(k.latencies, latency)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (t *tally) kind(service, kind string) *kindTally {
+	key := kindKey{service, kind}
+	if t.kinds[key] == nil {
+		t.kinds[key] = &kindTally{result: Kind{Service: service, Kind: kind, Reasons: make(map[string]int)}}
+	}
+	return t.kinds[key]
+}
+
+func (k *kindTally) reason(reason string) {
+	if reason == "" {
+		reason = "noFlow"
+	}
+	k.result.Reasons[reason]++
+}
+
+func (t *tally) session(service string, change func(*Sessions)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sessions[service] == nil {
+		t.sessions[service] = &Sessions{Service: service}
+	}
+	change(t.sessions[service])
+}
+
+func (t *tally) sessionOpened(service string) {
+	t.session(service, func(s *Sessions) { s.Opened++ })
+}
+
+func (t *tally) sessionMoved(service string) {
+	t.session(service, func(s *Sessions) { s.Moved++ })
+}
+
+func (t *tally) sessionBroken(service string) {
+	t.session(service, func(s *Sessions) { s.Broken++ })
+}
+
+func (t *tally) sessionRefused(ctx context.Context, service string) {
+	if ctx.Err() == nil {
+		t.session(service, func(s *Sessions) { s.Refused++ })
+	}
+}
+
+func (t *tally) records(service string, missing, twice uint64) {
+	t.session(service, func(s *Sessions) {
+		s.Missing += missing
+		s.Twice += twice
+	})
+}
+
+// result returns a copy of what was collected.
+func (t *tally) result() Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Result{Outcomes: slices.Clone(t.outcomes)}
+	for _, k := range t.kinds {
+		x := k.result
+		x.Latency = percentiles(k.latencies)
+		r.Kinds = append(r.Kinds, x)
+	}
+	for _, s := range t.sessions {
+		r.Sessions = append(r.Sessions, *s)
+	}
+	r.sort()
+	return r
+}
--- /dev/null
+++ b/internal/ledger/commands.go
@@ -0,0 +1,87 @@
+package ledger
+
+import "github.com/bergamotgw/bergamotgw/internal/entry"
+
+// Offer puts the entry in force if it is valid and supersedes the present one.
+func (l *Ledger) Offer(e entry.Entry) Outcome {
+	ref := e.Ref()
+	if l.known(ref) {
+		return Stale
+	}
+	faults := e.Check()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.countOddities(ref)
+	old, ok := l.accepted[e.Key]
+	if ok && !ref.Supersedes(old.ref) {
+		return Stale
+	}
+	if len(faults) > 0 {
+		return l.refuse(Refusal{Entry: e, Faults: faults, Since: l.clock.Now()}, ref)
+	}
+	l.accept(e, ref, old.ref, ok)
+	return Accepted
+}
+
+// known reports whether the very entry is in force or refused already.
+func (l *Ledger) known(ref entry.Ref) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if a, ok := l.accepted[ref.Key]; ok && a.ref == ref {
+		return true
+	}
+	r, ok := l.refused[ref.Key]
+	return ok && r.ref == ref
+}
+
+func (l *Ledger) countOddities(ref entry.Ref) {
+	old, ok := l.accepted[ref.Key]
+	if !ok {
+		return
+	}
+	if ref.Revision < old.ref.Revision {
+		l.lowered++
+	}
+	if ref.Revision == old.ref.Revision && ref.Hash != old.ref.Hash {
+		l.conflicts++
+	}
+}
+
+func (l *Ledger) refuse(r Refusal, ref entry.Ref) Outcome {
+	old, ok := l.refused[ref.Key]
+	if ok && !ref.Supersedes(old.ref) {
+		return Stale
+	}
+	if ok {
+		l.toggle(old.ref)
+	}
+	l.toggle(ref)
+	l.index++
+	l.refused[ref.Key] = refused{refusal: r, ref: ref, index: l.index}
+	l.notify()
+	return Refused
+}
+
+func (l *Ledger) accept(e entry.Entry, ref, old entry.Ref, replaces bool) {
+	if replaces {
+		l.toggle(old)
+	}
+	l.toggle(ref)
+	l.index++
+	l.accepted[e.Key] = accepted{entry: e, ref: ref, since: l.clock.Now(), index: l.index}
+	if r, ok := l.refused[e.Key]; ok && !r.ref.Supersedes(ref) {
+		l.toggle(r.ref)
+		delete(l.refused, e.Key)
+	}
+	l.notify()
+}
+
+// toggle adds a ref to the sums, or takes it out again.
+func (l *Ledger) toggle(ref entry.Ref) {
+	l.buckets[Bucket(ref.Key)] ^= ref.Sum()
+}
+
+func (l *Ledger) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/ledger/queries.go
@@ -0,0 +1,182 @@
+package ledger
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dchest/siphash"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+)
+
+// Buckets is the count of groups into which keys are hashed for comparison.
+const Buckets = 64
+
+// Bucket returns the bucket of a key.
+func Bucket(key string) int {
+	return int(siphash.Hash(2, 2, []byte(key)) % Buckets)
+}
+
+// InForce is an accepted entry and the time since when it is in force here.
+type InForce struct {
+	// Entry is the accepted entry.
+	Entry entry.Entry
+	// Since is the local time of acceptance.
+	Since time.Time
+}
+
+// Counts are the oddities that were met since the start.
+type Counts struct {
+	// Conflicts counts offers of another text under the revision in force.
+	Conflicts uint64
+	// Lowered counts offers below the revision in force.
+	Lowered uint64
+}
+
+// Get returns the entry in force under the key.
+func (l *Ledger) Get(key string) (entry.Entry, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	a, ok := l.accepted[key]
+	return a.entry, ok
+}
+
+// Texts returns the entry in force under the key and the refused one above it,
+// as far as there are any.
+func (l *Ledger) Texts(key string) []entry.Entry {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var list []entry.Entry
+	if a, ok := l.accepted[key]; ok {
+		list = append(list, a.entry)
+	}
+	if r, ok := l.refused[key]; ok {
+		list = append(list, r.refusal.Entry)
+	}
+	return list
+}
+
+// Wants reports whether an entry with this identity would be new here.
+func (l *Ledger) Wants(ref entry.Ref) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if a, ok := l.accepted[ref.Key]; ok && !ref.Supersedes(a.ref) {
+		return false
+	}
+	r, ok := l.refused[ref.Key]
+	return !ok || ref.Supersedes(r.ref)
+}
+
+// List returns the entries in force whose keys start with the prefix, by key.
+func (l *Ledger) List(prefix string) []InForce {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var list []InForce
+	for key, a := range l.accepted {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, InForce{Entry: a.entry, Since: a.since})
+		}
+	}
+	slices.SortFunc(list, func(a, b InForce) int { return strings.Compare(a.Entry.Key, b.Entry.Key) })
+	return list
+}
+
+// Refs returns the identities of the entries, in force and refused, in the
+// given bucket.
+func (l *Ledger) Refs(bucket int) []entry.Ref {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var refs []entry.Ref
+	for key, a := range l.accepted {
+		if Bucket(key) == bucket {
+			refs = append(refs, a.ref)
+		}
+	}
+	for key, r := range l.refused {
+		if Bucket(key) == bucket {
+			refs = append(refs, r.ref)
+		}
+	}
+	return refs
+}
+
+// Refusals returns the refused entries above those in force, by key.
+func (l *Ledger) Refusals() []Refusal {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	list := make([]Refusal, 0, len(l.refused))
+	for _, r := range l.refused {
+		list = append(list, r.refusal)
+	}
+	slices.SortFunc(list, func(a, b Refusal) int { return strings.Compare(a.Entry.Key, b.Entry.Key) })
+	return list
+}
+
+// Sums returns the combined sum of each bucket. Ledgers with equal content
+// have equal sums.
+func (l *Ledger) Sums() [Buckets]uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.buckets
+}
+
+// Root returns one hash over the whole content.
+func (l *Ledger) Root() uint64 {
+	var root uint64
+	for i, s := range l.Sums() {
+		root ^= siphash.Hash(uint64(i), 3, []byte{byte(s), byte(s >> 8), byte(s >> 16), byte(s >> 24), byte(s >> 32), byte(s >> 40), byte(s >> 48), byte(s >> 56)})
+	}
+	return root
+}
+
+// Counts returns the oddities met since the start.
+func (l *Ledger) Counts() Counts {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return Counts{Conflicts: l.conflicts, Lowered: l.lowered}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.changed
+}
+
+// Index returns the index of the latest change. It starts at 0 and is
+// local to the process.
+func (l *Ledger) Index() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.index
+}
+
+// ChangedAfter returns the identities of the entries accepted or refused after the index,
+// and the index of the latest.
+func (l *Ledger) ChangedAfter(index uint64) ([]entry.Ref, uint64) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if index == l.index {
+		return nil, index
+	}
+	var refs []entry.Ref
+	for _, a := range l.accepted {
+		if a.index > index {
+			refs = append(refs, a.ref)
+		}
+	}
+	for _, r := range l.refused {
+		if r.index > index {
+			refs = append(refs, r.ref)
+		}
+	}
+	return refs, l.index
+}
+
+// Len returns the number of entries in force.
+func (l *Ledger) Len() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.accepted)
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,48 @@
+// Package load defines the heartbeat that agents of one service exchange.
+package load
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State tells whether an agent takes work.
+type State string
+
+// States of agents.
+const (
+	Up       State = "up"
+	Draining State = "draining"
+	Down     State = "down"
+)
+
+// Report is the load of one backend server as its agent sees it.
+type Report struct {
+	// Agent is the address of the agent.
+	Agent netip.AddrPort `json:"a"`
+	// State tells whether the agent takes work.
+	State State `json:"s"`
+	// Slots is how many requests may run at once.
+	Slots int `json:"n"`
+	// Used is how many run.
+	Used int `json:"u"`
+	// Queued is how many wait.
+	Queued int `json:"q"`
+	// MeanServiceMicros is the mean service time, in microseconds; 0 if unknown.
+	MeanServiceMicros int64 `json:"t"`
+	// Utilisation is the mean share of used slots over the last seconds, from 0 to 1.
+	Utilisation float64 `json:"z"`
+}
+
+// MeanService returns the mean service time.
+func (r Report) MeanService() time.Duration {
+	return time.Duration(r.MeanServiceMicros) * time.Microsecond
+}
+
+// ExpectedWait returns how long one more request would wait for a slot.
+func (r Report) ExpectedWait() time.Duration {
+	if r.Used < r.Slots && r.Queued == 0 {
+		return 0
+	}
+	return r.MeanService() * time.Duration(r.Queued+1) / time.Duration(max(r.Slots, 1))
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,29 @@
+// Package logs builds the structured log of a process.
+package logs
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/settings"
+)
+
+// NewLogger returns a logger that writes JSON lines, or text for people. The
+// level is process-wide, so that it can change while the process runs.
+func NewLogger(w io.Writer, l settings.Log) zerolog.Logger {
+	SetLevel(l)
+	if l.Format == "console" {
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: "15:04:05.000"}
+	}
+	return zerolog.New(w).With().Timestamp().Logger()
+}
+
+// SetLevel changes the level of the process.
+func SetLevel(l settings.Log) {
+	level, err := zerolog.ParseLevel(l.Level)
+	if err != nil || l.Level == "" {
+		level = zerolog.InfoLevel
+	}
+	zerolog.SetGlobalLevel(level)
+}
--- /dev/null
+++ b/internal/metrics/relay.go
@@ -0,0 +1,27 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bergamotgw/bergamotgw/internal/relay"
+)
+
+// RegisterRelay registers the counters of an agent's packet connection.
+func RegisterRelay(r prometheus.Registerer, c *relay.Counts, flows func() int) {
+	drop := func(reason string, value func() uint64) {
+		r.MustRegister(counterFunc("drops_total", "Datagrams dropped, by reason.", "reason", reason, value))
+	}
+	drop("wrongService", c.WrongService.Load)
+	drop("foreign", c.Foreign.Load)
+	drop("malformed", c.Malformed.Load)
+	drop("refused", c.Refused.Load)
+	drop("noPath", c.NoPath.Load)
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bergamotgw_passed_on_total",
+		Help: "Datagrams of new flows passed to the next candidate.",
+	}, func() float64 { return float64(c.PassedOn.Load()) }))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bergamotgw_flows",
+		Help: "Open flows.",
+	}, func() float64 { return float64(flows()) }))
+}
--- /dev/null
+++ b/internal/placement/available/available.go
@@ -0,0 +1,24 @@
+// Package available is the placement rule that leaves out backend servers that
+// take no work.
+package available
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/load"
+	"github.com/bergamotgw/bergamotgw/internal/placement"
+)
+
+// Priority places the rule before those that order sites.
+const Priority = 100
+
+// NewRule returns the rule.
+func NewRule() placement.Rule {
+	return placement.Rule{Name: "available", Priority: Priority, Apply: apply}
+}
+
+func apply(v placement.View) []placement.Site {
+	return lo.Filter(v.Sites, func(s placement.Site, _ int) bool {
+		return s.Load.State == load.Up && s.Load.Slots > 0
+	})
+}
--- /dev/null
+++ b/internal/placement/localonly/localonly.go
@@ -0,0 +1,21 @@
+// Package localonly is the placement rule that keeps every request beside its
+// flow, as a balancer that hashes flows does. It serves as a baseline.
+package localonly
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/placement"
+)
+
+// Priority places the rule after those that leave out sites.
+const Priority = 500
+
+// NewRule returns the rule.
+func NewRule() placement.Rule {
+	return placement.Rule{Name: "localOnly", Priority: Priority, Apply: apply}
+}
+
+func apply(v placement.View) []placement.Site {
+	return lo.Filter(v.Sites, func(s placement.Site, _ int) bool { return s.Local })
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,68 @@
+// Package platform reads the platform's configuration service, which cannot be
+// written to.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+)
+
+// Limits of a call.
+const (
+	// WatchWait is how long the platform holds a call that has nothing new.
+	WatchWait = 25 * time.Second
+	// callTimeout bounds a call beyond the wait.
+	callTimeout = 5 * time.Second
+	// maxPageBytes bounds the answer to one call.
+	maxPageBytes = 2 << 20
+)
+
+// Client calls the configuration service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// Page is the answer to one call.
+type Page struct {
+	// Index is where the next call continues.
+	Index uint64 `json:"index"`
+	// Entries are the values that changed, each once, with its latest text.
+	Entries []entry.Entry `json:"entries"`
+}
+
+// NewClient returns a client for the service at the base URL.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Timeout: WatchWait + callTimeout}}
+}
+
+// Changes returns what changed after the index. With a wait it is held until
+// there is a change or the wait is over; then the page is empty.
+func (c *Client) Changes(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/changes?after=%d&waitMs=%d", c.base, after, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Page{}, merry.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Page{}, merry.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Page{}, merry.Errorf("platform answered %s", resp.Status)
+	}
+	var page Page
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page)
+	return page, merry.Wrap(err)
+}
--- /dev/null
+++ b/internal/readers/readers.go
@@ -0,0 +1,71 @@
+// Package readers selects the processes that read the platform on behalf of
+// their availability zone.
+package readers
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/ledger"
+	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
+	"github.com/bergamotgw/bergamotgw/internal/vm"
+)
+
+// PerZone is how many processes of an availability zone read the platform.
+const PerZone = 3
+
+// Fleet is an immutable view of the VMs that are not gone.
+type Fleet struct {
+	// VMs are sorted by name.
+	VMs []vm.VM
+	// ranker has no secret, so that every process selects alike.
+	ranker rendezvous.Ranker
+}
+
+// NewFleet reads the VM list from the ledger.
+func NewFleet(l *ledger.Ledger) Fleet {
+	f := Fleet{ranker: rendezvous.NewRanker(nil)}
+	for _, in := range l.List(entry.VMPrefix) {
+		var v vm.VM
+		if json.Unmarshal(in.Entry.Raw, &v) == nil && v.State != vm.Gone {
+			f.VMs = append(f.VMs, v)
+		}
+	}
+	return f
+}
+
+// Find returns the VM with the given name.
+func (f Fleet) Find(name string) (vm.VM, bool) {
+	return lo.Find(f.VMs, func(v vm.VM) bool { return v.Name == name })
+}
+
+// IsReader reports whether the VM reads the platform for its zone. A VM that
+// is not listed does, since nobody knows it yet.
+func (f Fleet) IsReader(name string) bool {
+	self, ok := f.Find(name)
+	if !ok {
+		return true
+	}
+	zone := lo.Filter(f.VMs, func(v vm.VM, _ int) bool { return v.Zone == self.Zone && v.State == vm.Live })
+	top := f.top(self.Zone, zone, PerZone)
+	return slices.ContainsFunc(top, func(v vm.VM) bool { return v.Name == name })
+}
+
+// Neighbours returns the VMs with which the named one exchanges entries.
+func (f Fleet) Neighbours(name string, count int) []vm.VM {
+	others := lo.Filter(f.VMs, func(v vm.VM, _ int) bool { return v.Name != name })
+	return f.top(name, others, count)
+}
+
+// top returns the VMs with the highest rank for the key.
+func (f Fleet) top(key string, vms []vm.VM, count int) []vm.VM {
+	k := f.ranker.Hash([]byte(key))
+	hashes := lo.Map(vms, func(v vm.VM, _ int) uint64 { return f.ranker.Hash([]byte(v.Name)) })
+	weights := lo.Map(vms, func(vm.VM, int) float64 { return 1 })
+	best := make([]int, count)
+	n := f.ranker.Top(k, hashes, weights, best)
+	return lo.Map(best[:n], func(i, _ int) vm.VM { return vms[i] })
+}
--- /dev/null
+++ b/internal/routes/routes.go
@@ -0,0 +1,95 @@
+// Package routes maps service addresses to the agents of the service.
+package routes
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/ledger"
+	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
+	"github.com/bergamotgw/bergamotgw/internal/section"
+	"github.com/bergamotgw/bergamotgw/internal/vm"
+)
+
+// Table is an immutable view of all sections.
+type Table struct {
+	// byAddress holds one route for each service address in force.
+	byAddress map[netip.AddrPort]*route
+	ranker    rendezvous.Ranker
+}
+
+// route holds the agents of one service; the slices have equal length.
+type route struct {
+	service uint32
+	agents  []netip.AddrPort
+	hashes  []uint64
+	weights []float64
+}
+
+// NewTable builds the table for the sections and VM states in force. Agents on
+// VMs that are leaving or gone get no new flows. An address that two sections
+// claim belongs to the one whose name comes first.
+func NewTable(l *ledger.Ledger, ranker rendezvous.Ranker) *Table {
+	t := &Table{byAddress: make(map[netip.AddrPort]*route), ranker: ranker}
+	for _, in := range l.List(entry.SectionPrefix) {
+		s, faults := section.Parse(in.Entry.Raw)
+		if len(faults) == 0 {
+			t.add(s, l)
+		}
+	}
+	return t
+}
+
+func (t *Table) add(s section.Section, l *ledger.Ledger) {
+	r := &route{service: section.ID(s.Service)}
+	for _, e := range s.Endpoints {
+		weight := e.Weight
+		if !available(l, e.VM) {
+			weight = 0
+		}
+		r.agents = append(r.agents, e.Agent)
+		r.hashes = append(r.hashes, t.ranker.Hash([]byte(e.Agent.String())))
+		r.weights = append(r.weights, weight)
+	}
+	for _, a := range s.Addresses {
+		if _, taken := t.byAddress[a]; !taken {
+			t.byAddress[a] = r
+		}
+	}
+}
+
+// available reports whether new flows may go to the VM. Unknown VMs may be so
+// new that the list lacks them.
+func available(l *ledger.Ledger, name string) bool {
+	e, ok := l.Get(entry.VMPrefix + name)
+	if !ok {
+		return true
+	}
+	var v vm.VM
+	if json.Unmarshal(e.Raw, &v) != nil {
+		return true
+	}
+	return v.State == vm.Live
+}
+
+// Candidates writes the agents for a new flow into list, best first, and
+// returns the service and how many there are. It returns false if no section
+// in force owns the address.
+func (t *Table) Candidates(address netip.AddrPort, flow []byte, list []netip.AddrPort) (service uint32, n int, ok bool) {
+	r := t.byAddress[address]
+	if r == nil {
+		return 0, 0, false
+	}
+	var best [16]int
+	n = t.ranker.Top(t.ranker.Hash(flow), r.hashes, r.weights, best[:min(len(list), len(best))])
+	for i := range n {
+		list[i] = r.agents[best[i]]
+	}
+	return r.service, n, true
+}
+
+// Addresses returns the number of service addresses.
+func (t *Table) Addresses() int {
+	return len(t.byAddress)
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,143 @@
+// Package rpc carries typed JSON-RPC 2.0 calls between processes of the system.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// CallTimeout bounds every call.
+const CallTimeout = 2 * time.Second
+
+// Server holds the methods that a process offers on all its connections.
+type Server struct {
+	// methods are registered before the first connection and fixed thereafter.
+	methods map[string]method
+	// traffic counts the bytes of all connections.
+	traffic Traffic
+}
+
+// Traffic counts bytes on the wire, without the headers of TCP and IP.
+type Traffic struct {
+	// Sent counts bytes written.
+	Sent atomic.Uint64
+	// Received counts bytes read.
+	Received atomic.Uint64
+}
+
+// Conn is a connection on which both sides may call.
+type Conn struct {
+	rpc *jsonrpc2.Conn
+}
+
+type method func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{methods: make(map[string]method)}
+}
+
+// Handle registers a method. The handler gets the connection to call back on.
+func Handle[P, R any](s *Server, name string, handler func(ctx context.Context, c *Conn, params P) (R, error)) {
+	s.methods[name] = func(ctx context.Context, c *Conn, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return handler(ctx, c, params)
+	}
+}
+
+// Call calls a method of the other side and waits for its result.
+func Call[R any](ctx context.Context, c *Conn, name string, params any) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	var result R
+	err := c.rpc.Call(ctx, name, params, &result)
+	return result, merry.Wrap(err)
+}
+
+// Notify calls a method of the other side without a result.
+func Notify(ctx context.Context, c *Conn, name string, params any) error {
+	return merry.Wrap(c.rpc.Notify(ctx, name, params))
+}
+
+// Attach serves the methods on an open connection.
+func (s *Server) Attach(ctx context.Context, nc net.Conn) *Conn {
+	c := &Conn{}
+	ready := make(chan struct{})
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		<-ready
+		return s.dispatch(ctx, c, r)
+	})
+	stream := jsonrpc2.NewPlainObjectStream(&countingConn{Conn: nc, traffic: &s.traffic})
+	c.rpc = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler), jsonrpc2.SetLogger(silent{}))
+	close(ready)
+	return c
+}
+
+// Dial opens a connection and serves the methods on it.
+func (s *Server) Dial(ctx context.Context, address string) (*Conn, error) {
+	d := net.Dialer{Timeout: CallTimeout}
+	nc, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return s.Attach(ctx, nc), nil
+}
+
+// Traffic returns the live byte counters.
+func (s *Server) Traffic() *Traffic {
+	return &s.traffic
+}
+
+// Closed returns a channel that is closed when the connection is lost.
+func (c *Conn) Closed() <-chan struct{} {
+	return c.rpc.DisconnectNotify()
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	return merry.Wrap(c.rpc.Close())
+}
+
+func (s *Server) dispatch(ctx context.Context, c *Conn, r *jsonrpc2.Request) (any, error) {
+	m, ok := s.methods[r.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+	if r.Params == nil {
+		return m(ctx, c, json.RawMessage("null"))
+	}
+	return m(ctx, c, *r.Params)
+}
+
+// countingConn counts bytes and bounds every write.
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(CallTimeout))
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(uint64(n))
+	return n, err
+}
+
+// silent drops the library's log of peers that hang up.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/section/section.go
@@ -0,0 +1,120 @@
+// Package section defines the part of the operators' document that describes
+// one service.
+package section
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// Section describes one service. It is immutable once accepted.
+type Section struct {
+	// Service is the name of the service and of the section.
+	Service string `json:"service"`
+	// Owner names the team that edits the section.
+	Owner string `json:"owner"`
+	// Revision grows with every edit and is at least 1.
+	Revision uint64 `json:"revision"`
+	// Addresses are the service addresses that callers use, IPv4 with port; at least one.
+	Addresses []netip.AddrPort `json:"addresses"`
+	// Kinds are the kinds of requests that the service takes; at least one.
+	Kinds []request.Kind `json:"kinds"`
+	// Endpoints are the backend servers; agents and VMs are unique. It may be empty.
+	Endpoints []Endpoint `json:"endpoints"`
+	// Limits bound the work that agents take on.
+	Limits Limits `json:"limits"`
+}
+
+// Endpoint is one backend server and the agent beside it.
+type Endpoint struct {
+	// VM is the name of the backend server VM.
+	VM string `json:"vm"`
+	// Agent is the address of the agent: UDP for balancers, TCP for peers.
+	Agent netip.AddrPort `json:"agent"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Slots is how many requests the backend server runs at once; at least 1.
+	Slots int `json:"slots"`
+	// Connections is how many flows and sessions it holds at once; at least 1.
+	Connections int `json:"connections"`
+	// Weight is the share of new flows relative to other endpoints; 0 takes none.
+	Weight float64 `json:"weight"`
+}
+
+// Limits bound the work that agents take on.
+type Limits struct {
+	// QueuePerSlot is how many requests may wait for each slot; 0 selects the default.
+	QueuePerSlot int `json:"queuePerSlot,omitempty"`
+	// RetryPercent is how many retries callers and agents may add, in percent of
+	// first tries; 0 selects the default.
+	RetryPercent int `json:"retryPercent,omitempty"`
+	// GraceSeconds is how long a leaving agent waits for open work; 0 selects the default.
+	GraceSeconds int `json:"graceSeconds,omitempty"`
+	// SlowStartSeconds is how long a new endpoint takes to reach its full share; 0 selects the default.
+	SlowStartSeconds int `json:"slowStartSeconds,omitempty"`
+}
+
+// Defaults of the limits.
+const (
+	DefaultQueuePerSlot     = 8
+	DefaultRetryPercent     = 10
+	DefaultGraceSeconds     = 4 * 3600
+	DefaultSlowStartSeconds = 10
+)
+
+// ID returns the numeric identity of a service name; never 0.
+func ID(service string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	return max(h.Sum32(), 1)
+}
+
+// Endpoint returns the endpoint whose agent has the given address.
+func (s Section) Endpoint(agent netip.AddrPort) (Endpoint, bool) {
+	for _, e := range s.Endpoints {
+		if e.Agent == agent {
+			return e, true
+		}
+	}
+	return Endpoint{}, false
+}
+
+// Takes reports whether the service takes requests of the kind.
+func (s Section) Takes(kind request.Kind) bool {
+	for _, k := range s.Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// Queue returns how many requests may wait for each slot.
+func (l Limits) Queue() int {
+	return orDefault(l.QueuePerSlot, DefaultQueuePerSlot)
+}
+
+// RetryRatio returns how many retries each first try allows.
+func (l Limits) RetryRatio() float64 {
+	return float64(orDefault(l.RetryPercent, DefaultRetryPercent)) / 100
+}
+
+// Grace returns how long a leaving agent waits for open work.
+func (l Limits) Grace() time.Duration {
+	return time.Duration(orDefault(l.GraceSeconds, DefaultGraceSeconds)) * time.Second
+}
+
+// SlowStart returns how long a new endpoint takes to reach its full share.
+func (l Limits) SlowStart() time.Duration {
+	return time.Duration(orDefault(l.SlowStartSeconds, DefaultSlowStartSeconds)) * time.Second
+}
+
+func orDefault(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/pkg/caller/budget.go
@@ -0,0 +1,80 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+)
+
+// Bounds of retries.
+const (
+	defaultRetryRatio = 0.1
+	// maxSavedRetries bounds the retries that many first tries allow at once.
+	maxSavedRetries = 10
+	minRetryDelay   = 20 * time.Millisecond
+	maxRetryDelay   = time.Second
+)
+
+// budget allows retries in proportion to first tries, so that retries cannot
+// multiply an outage.
+type budget struct {
+	ratio float64
+
+	mu sync.Mutex
+	// tokens is how many retries are allowed now, from 0 to maxSavedRetries.
+	tokens float64
+}
+
+// newBudget allows one retry at the start.
+func newBudget(ratio float64) *budget {
+	return &budget{ratio: ratio, tokens: 1}
+}
+
+func (b *budget) first() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+b.ratio, maxSavedRetries)
+}
+
+func (b *budget) retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// mayRetry reports whether another try is safe and can succeed.
+func (e *Error) mayRetry() bool {
+	if !e.Verdict.SafeToRepeat() {
+		return false
+	}
+	switch e.Reason {
+	case answer.WrongService, answer.BadPreface, answer.Late:
+		return false
+	default:
+		return true
+	}
+}
+
+// retryDelay grows exponentially, with full jitter.
+func retryDelay(tries int) time.Duration {
+	d := min(minRetryDelay<<min(tries, 10), maxRetryDelay)
+	return d/2 + rand.N(d/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,180 @@
+// Package caller opens flows to a service, runs requests and sessions on them,
+// and moves to a successor flow when the agent asks for it.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+	"github.com/bergamotgw/bergamotgw/pkg/verdict"
+)
+
+// Protocol is the ALPN name of the flow protocol.
+const Protocol = "bergamotgw/1"
+
+// Timing of flows.
+const (
+	// KeepAlive is the time after which a silent caller sends a datagram.
+	KeepAlive = 10 * time.Second
+	// IdleTimeout ends a flow on which nothing is heard.
+	IdleTimeout = 30 * time.Second
+	// attemptDelay is the time after which another attempt to open a flow starts.
+	attemptDelay = 300 * time.Millisecond
+	// maxAttempts bounds the attempts that run at once.
+	maxAttempts = 6
+	// openTimeout bounds the opening of a flow.
+	openTimeout       = 10 * time.Second
+	initialPacketSize = 1200
+)
+
+// Caller runs requests and sessions of one service. It is safe for concurrent use.
+type Caller struct {
+	address   netip.AddrPort
+	service   string
+	tls       *tls.Config
+	budget    *budget
+	transport *quic.Transport
+	socket    net.PacketConn
+
+	mu sync.Mutex
+	// current is the flow for new requests; nil until the first one.
+	current *flow
+	// opening is closed when the attempt in progress ends; nil if there is none.
+	opening chan struct{}
+	closed  bool
+}
+
+// Option configures a caller.
+type Option func(*Caller)
+
+// WithTLS sets the TLS configuration that checks agents. The server name is
+// always the name of the service.
+func WithTLS(c *tls.Config) Option {
+	return func(x *Caller) { x.tls = c.Clone() }
+}
+
+// WithSocket sets the UDP socket. The caller closes it.
+func WithSocket(s net.PacketConn) Option {
+	return func(x *Caller) { x.socket = s }
+}
+
+// WithRetryRatio sets how many retries each first try allows.
+func WithRetryRatio(ratio float64) Option {
+	return func(x *Caller) { x.budget = newBudget(ratio) }
+}
+
+// NewCaller returns a caller of the service at the address. It opens the first
+// flow with the first request.
+func NewCaller(address netip.AddrPort, service string, options ...Option) (*Caller, error) {
+	c := &Caller{address: address, service: service, tls: &tls.Config{}, budget: newBudget(defaultRetryRatio)}
+	for _, o := range options {
+		o(c)
+	}
+	c.tls.NextProtos = []string{Protocol}
+	c.tls.ServerName = service
+	c.tls.MinVersion = tls.VersionTLS13
+	if c.socket == nil {
+		s, err := net.ListenUDP("udp4", nil)
+		if err != nil {
+			return nil, merry.Prepend(err, "open socket")
+		}
+		c.socket = s
+	}
+	c.transport = &quic.Transport{Conn: plainConn{c.socket}}
+	return c, nil
+}
+
+// Close closes all flows.
+func (c *Caller) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	err := c.transport.Close()
+	_ = c.socket.Close()
+	return merry.Wrap(err)
+}
+
+// Request is one request with its whole body.
+type Request struct {
+	// Kind is Once or Repeatable.
+	Kind request.Kind
+	// Key is the idempotency key; required for Once.
+	Key string
+	// Body is sent to the backend server.
+	Body []byte
+	// Whole reports whether an answer is complete, where the application can
+	// tell; optional. An answer that is not is an error with MayHaveRun.
+	Whole func(answer []byte) bool
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	// Body is what the backend server sent.
+	Body []byte
+	// VM is the name of the backend server VM.
+	VM string
+	// Tries is how many times the request was sent; 1 without retries.
+	Tries int
+}
+
+// Error tells why a request failed and whether it may have run.
+type Error struct {
+	// Verdict tells whether the request may have run.
+	Verdict verdict.Verdict
+	// Reason is set if an agent refused the request.
+	Reason answer.Reason
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the verdict, the reason and the cause.
+func (e *Error) Error() string {
+	text := e.Verdict.String()
+	if e.Reason != "" {
+		text += " (" + string(e.Reason) + ")"
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// plainConn hides that the socket is a *net.UDPConn: segmentation offload and
+// path MTU discovery do not fit a path through several balancers.
+type plainConn struct {
+	net.PacketConn
+}
+
+// Do runs a request and returns its whole answer. It repeats a request only
+// while the verdict is NotRun, the retry budget allows it and the context lasts.
+// The context's deadline is sent along. Errors are of type *Error.
+func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
+	c.budget.first()
+	for tries := 1; ; tries++ {
+		a, err := c.try(ctx, r)
+		if err == nil {
+			a.Tries = tries
+			return a, nil
+		}
+		if !err.mayRetry() || ctx.Err() != nil || !c.budget.retry() {
+			return Answer{}, err
+		}
+		if !sleep(ctx, retryDelay(tries)) {
+			return Answer{}, err
+		}
+	}
+}
--- /dev/null
+++ b/pkg/caller/flow.go
@@ -0,0 +1,183 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/bergamotgw/bergamotgw/internal/frame"
+	"github.com/bergamotgw/bergamotgw/pkg/notice"
+)
+
+// maxNotices bounds the notices that an agent may send on one flow.
+const maxNotices = 4
+
+// flow is one QUIC connection to an agent.
+type flow struct {
+	conn *quic.Conn
+	// moved is closed when the agent asks the caller to leave.
+	moved chan struct{}
+	// streams counts the streams in use.
+	streams atomic.Int64
+}
+
+// usable reports whether new requests may use the flow.
+func (f *flow) usable() bool {
+	select {
+	case <-f.moved:
+		return false
+	case <-f.conn.Context().Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// listen waits for notices of the agent until the flow ends.
+func (f *flow) listen() {
+	for range maxNotices {
+		s, err := f.conn.AcceptUniStream(f.conn.Context())
+		if err != nil {
+			return
+		}
+		n, err := frame.Read[notice.Notice](s)
+		if err == nil && n.Kind == notice.Moved {
+			close(f.moved)
+			return
+		}
+	}
+}
+
+// flow returns the current flow, or opens one. Callers that come meanwhile
+// wait for the same attempt.
+func (c *Caller) flow(ctx context.Context) (*flow, error) {
+	for {
+		c.mu.Lock()
+		if c.closed {
+			c.mu.Unlock()
+			return nil, net.ErrClosed
+		}
+		if f := c.current; f != nil && f.usable() {
+			c.mu.Unlock()
+			return f, nil
+		}
+		opening := c.opening
+		if opening == nil {
+			opening = make(chan struct{})
+			c.opening = opening
+			c.mu.Unlock()
+			return c.replace(ctx, opening)
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-opening:
+		}
+	}
+}
+
+// replace opens a flow and makes it the current one. The former one stays open
+// for its requests in progress.
+func (c *Caller) replace(ctx context.Context, opening chan struct{}) (*flow, error) {
+	conn, err := c.open(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(opening)
+	c.opening = nil
+	if err != nil {
+		return nil, err
+	}
+	f := &flow{conn: conn, moved: make(chan struct{})}
+	c.retire(c.current)
+	c.current = f
+	go f.listen()
+	go c.follow(f)
+	return f, nil
+}
+
+// forget makes new requests open another flow.
+func (c *Caller) forget(f *flow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == f {
+		c.retire(f)
+		c.current = nil
+	}
+}
+
+// follow opens the successor as soon as the agent asks for it.
+func (c *Caller) follow(f *flow) {
+	select {
+	case <-f.conn.Context().Done():
+		return
+	case <-f.moved:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	_, _ = c.flow(ctx)
+}
+
+// open makes staggered attempts with different connection IDs, which reach
+// different agents, and returns the first flow that opens. No request is sent
+// before, so the others are closed without harm.
+func (c *Caller) open(ctx context.Context) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	results := make(chan attempt, maxAttempts)
+	started, failed := 0, 0
+	start := func() {
+		started++
+		go func() { results <- c.attempt(ctx) }()
+	}
+	start()
+	for {
+		next := startTimer(started)
+		select {
+		case r := <-results:
+			next.Stop()
+			if r.err == nil {
+				go closeRest(results, started-failed-1)
+				return r.conn, nil
+			}
+			failed++
+			if ctx.Err() != nil || failed == maxAttempts {
+				go closeRest(results, started-failed)
+				return nil, merry.Prepend(r.err, "open flow")
+			}
+		case <-next.C:
+			if started < maxAttempts {
+				start()
+			}
+		}
+	}
+}
+
+type attempt struct {
+	conn *quic.Conn
+	err  error
+}
+
+func (c *Caller) attempt(ctx context.Context) attempt {
+	conn, err := c.transport.Dial(ctx, net.UDPAddrFromAddrPort(c.address), c.tls, &quic.Config{
+		MaxIdleTimeout:          IdleTimeout,
+		HandshakeIdleTimeout:    openTimeout / 2,
+		KeepAlivePeriod:         KeepAlive,
+		InitialPacketSize:       initialPacketSize,
+		DisablePathMTUDiscovery: true,
+		MaxIncomingUniStreams:   maxNotices,
+		MaxIncomingStreams:      -1,
+	})
+	return attempt{conn, err}
+}
+
+func closeRest(results <-chan attempt, count int) {
+	for range count {
+		if r := <-results; r.err == nil {
+			_ = r.conn.CloseWithError(0, "another attempt was faster")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/caller/session.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"context"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// Session is a stream that lives for hours. It implements io.ReadWriteCloser.
+// Close ends the direction to the backend server only.
+type Session struct {
+	*quic.Stream
+	flow *flow
+	vm   string
+	done func()
+}
+
+// Session opens a session. offset is the count of answer bytes that a resumed
+// session already holds. Errors are of type *Error.
+func (c *Caller) Session(ctx context.Context, key string, offset uint64) (*Session, error) {
+	c.budget.first()
+	for tries := 1; ; tries++ {
+		s, err := c.trySession(ctx, key, offset)
+		if err == nil {
+			return s, nil
+		}
+		if !err.mayRetry() || ctx.Err() != nil || !c.budget.retry() {
+			return nil, err
+		}
+		if !sleep(ctx, retryDelay(tries)) {
+			return nil, err
+		}
+	}
+}
+
+func (c *Caller) trySession(ctx context.Context, key string, offset uint64) (*Session, *Error) {
+	p := request.Preface{Service: c.service, Kind: request.Session, Key: key, Offset: offset}
+	f, s, err := c.stream(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
+	a, err := c.granted(ctx, f, s)
+	if !stop() && err == nil {
+		err = failure(ctx, ctx.Err())
+	}
+	if err != nil {
+		cancelStream(s)
+		f.streams.Add(-1)
+		return nil, err
+	}
+	return &Session{Stream: s, flow: f, vm: a.VM, done: sync.OnceFunc(func() { f.streams.Add(-1) })}, nil
+}
+
+// VM returns the name of the backend server VM.
+func (s *Session) VM() string {
+	return s.vm
+}
+
+// Moved returns a channel that is closed when the agent asks the caller to
+// move. The session goes on; the application may open its successor first and
+// then release this one.
+func (s *Session) Moved() <-chan struct{} {
+	return s.flow.moved
+}
+
+// Release ends both directions at once.
+func (s *Session) Release() {
+	cancelStream(s.Stream)
+	s.done()
+}
--- /dev/null
+++ b/pkg/caller/try.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/bergamotgw/bergamotgw/internal/frame"
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+	"github.com/bergamotgw/bergamotgw/pkg/verdict"
+)
+
+// errTruncated is the cause when an answer ended too early.
+var errTruncated = merry.Sentinel("truncated answer")
+
+// try sends a request once.
+func (c *Caller) try(ctx context.Context, r Request) (Answer, *Error) {
+	p := request.Preface{Service: c.service, Kind: r.Kind, Key: r.Key}
+	if deadline, ok := ctx.Deadline(); ok {
+		p = p.WithTimeout(max(time.Until(deadline), time.Millisecond))
+	}
+	f, s, err := c.stream(ctx, p)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer f.streams.Add(-1)
+	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
+	defer stop()
+	go func() {
+		if _, err := s.Write(r.Body); err == nil {
+			_ = s.Close()
+		}
+	}()
+	a, err := c.receive(ctx, f, s)
+	if err != nil {
+		cancelStream(s)
+		return Answer{}, err
+	}
+	if r.Whole != nil && !r.Whole(a.Body) {
+		return Answer{}, &Error{Verdict: verdict.MayHaveRun, Err: errTruncated}
+	}
+	return a, nil
+}
+
+// stream opens a stream and writes the preface. An error means NotRun.
+func (c *Caller) stream(ctx context.Context, p request.Preface) (*flow, *quic.Stream, *Error) {
+	if err := p.Check(); err != nil {
+		return nil, nil, &Error{Verdict: verdict.NotRun, Reason: answer.BadPreface, Err: err}
+	}
+	f, err := c.flow(ctx)
+	if err != nil {
+		return nil, nil, &Error{Verdict: verdict.NotRun, Err: err}
+	}
+	f.streams.Add(1)
+	s, err := f.conn.OpenStreamSync(ctx)
+	if err == nil {
+		err = frame.Write(s, p)
+	}
+	if err != nil {
+		f.streams.Add(-1)
+		return nil, nil, &Error{Verdict: verdict.NotRun, Err: err}
+	}
+	return f, s, nil
+}
+
+// receive reads the answer preface and the whole answer.
+func (c *Caller) receive(ctx context.Context, f *flow, s *quic.Stream) (Answer, *Error) {
+	p, err := c.granted(ctx, f, s)
+	if err != nil {
+		return Answer{}, err
+	}
+	body, rerr := io.ReadAll(s)
+	if rerr != nil {
+		return Answer{}, failure(ctx, rerr)
+	}
+	return Answer{Body: body, VM: p.VM}, nil
+}
+
+// granted reads the answer preface.
+func (c *Caller) granted(ctx context.Context, f *flow, s *quic.Stream) (answer.Preface, *Error) {
+	p, err := frame.Read[answer.Preface](s)
+	if err != nil {
+		return p, failure(ctx, err)
+	}
+	if p.Granted {
+		return p, nil
+	}
+	if p.Reason == answer.Draining || p.Reason == answer.Unreachable || p.Reason == answer.Full {
+		c.forget(f)
+	}
+	return p, &Error{Verdict: verdict.NotRun, Reason: p.Reason, Err: merry.Errorf("refused by %s", p.VM)}
+}
+
+// failure returns the error of a stream that ended early.
+func failure(ctx context.Context, err error) *Error {
+	var reset *quic.StreamError
+	if errors.As(err, &reset) && reset.Remote {
+		return &Error{Verdict: verdict.FromStreamCode(reset.ErrorCode), Err: err}
+	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return &Error{Verdict: verdict.MayHaveRun, Err: err}
+}
+
+func cancelStream(s *quic.Stream) {
+	s.CancelRead(verdict.MayHaveRun.StreamCode())
+	s.CancelWrite(verdict.MayHaveRun.StreamCode())
+}
--- /dev/null
+++ b/test/integration/system_test.go
@@ -0,0 +1,250 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/lab/backend"
+	"github.com/bergamotgw/bergamotgw/internal/lab/fabric"
+	"github.com/bergamotgw/bergamotgw/internal/lab/fleet"
+	"github.com/bergamotgw/bergamotgw/internal/lab/load"
+	"github.com/bergamotgw/bergamotgw/internal/lab/platform"
+	"github.com/bergamotgw/bergamotgw/internal/status"
+)
+
+// startTimeout bounds the start of a process.
+const startTimeout = 20 * time.Second
+
+// system is a running system of child processes.
+type system struct {
+	t         *testing.T
+	plan      fleet.Plan
+	processes map[string]*process
+	fabric    fabric.Faults
+	// running is the load in the background; nil if there is none.
+	running *runningLoad
+	// outcomes are those of all loads that ended.
+	outcomes []load.Outcome
+	// revisions holds the last published revision of each key.
+	revisions map[string]uint64
+}
+
+// process is a child.
+type process struct {
+	command *exec.Cmd
+	log     *bytes.Buffer
+	exited  chan struct{}
+}
+
+type runningLoad struct {
+	load   *load.Load
+	cancel context.CancelFunc
+	result load.Result
+	err    error
+	done   sync.WaitGroup
+}
+
+func newSystem(t *testing.T) *system {
+	return &system{t: t, processes: make(map[string]*process), revisions: make(map[string]uint64)}
+}
+
+// stop ends every process that is left.
+func (s *system) stop() {
+	if s.running != nil {
+		s.running.cancel()
+		s.running.done.Wait()
+	}
+	for name, p := range s.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		<-p.exited
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", name, tail(p.log.String()))
+		}
+	}
+}
+
+func tail(text string) string {
+	const limit = 3000
+	if len(text) > limit {
+		return "..." + text[len(text)-limit:]
+	}
+	return text
+}
+
+// spawn starts a child that runs one of the programs.
+func (s *system) spawn(name, program string, args ...string) {
+	s.t.Helper()
+	p := &process{command: exec.Command(os.Args[0], args...), log: &bytes.Buffer{}, exited: make(chan struct{})}
+	p.command.Env = append(os.Environ(), programVariable+"="+program)
+	p.command.Stderr = p.log
+	if err := p.command.Start(); err != nil {
+		s.t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.exited)
+	}()
+	s.processes[name] = p
+}
+
+// start starts the stand-ins and all processes of the plan.
+func (s *system) start() {
+	s.plan.Dir = s.t.TempDir()
+	s.plan.Octet = uint8(10 + os.Getpid()%200)
+	if err := s.plan.Write(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.startPlatform()
+	s.spawn("fabric", "bergamotlab", "fabric", "--inner", s.plan.Fabric().String(), "--admin", s.plan.FabricAdmin().String(),
+		"--addresses", joined(s.plan.Addresses()), "--balancers", joined(s.plan.Fronts()))
+	s.fabric.Balancers = s.plan.Fronts()
+	for _, e := range s.plan.Endpoints() {
+		s.startBackend(e)
+		s.startAgent(e)
+	}
+	for i := range s.plan.Balancers {
+		s.startBalancer(i + 1)
+	}
+	s.eventually("every process has the document", func() bool { return s.everywhere(len(s.plan.Services)) })
+}
+
+func (s *system) startPlatform() {
+	s.spawn("platform", "bergamotlab", "platform", "--listen", s.plan.Platform().String())
+	s.eventually("platform takes entries", func() bool {
+		return post(s.plan.Platform().String(), "/admin/publish", s.plan.Entries()) == nil
+	})
+}
+
+func (s *system) startBackend(e fleet.Endpoint) {
+	s.spawn("backend-"+e.VM, "bergamotlab", "backend", "--vm", e.VM, "--service", e.Service.Name,
+		"--listen", s.plan.Backend(e).String(), "--admin", s.plan.BackendAdmin(e).String(), "--slots", fmt.Sprint(e.Service.Slots))
+}
+
+func (s *system) startAgent(e fleet.Endpoint) {
+	s.spawn(e.VM, "bergamotgw", "agent", "--settings", filepath.Join(s.plan.Dir, e.VM+".json"))
+}
+
+func (s *system) startBalancer(n int) {
+	name := fmt.Sprintf("balancer-%d", n)
+	s.spawn(name, "bergamotgw", "balancer", "--settings", filepath.Join(s.plan.Dir, name+".json"))
+}
+
+// everywhere reports whether all processes have the given number of sections.
+func (s *system) everywhere(sections int) bool {
+	for _, address := range s.statusAddresses() {
+		r, err := get[status.Report](address, "/status")
+		if err != nil || len(r.Sections) != sections || r.Members.Live == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// statusAddresses returns the status addresses of all processes that run.
+func (s *system) statusAddresses() map[string]string {
+	list := make(map[string]string)
+	for i := range s.plan.Balancers {
+		if name := fmt.Sprintf("balancer-%d", i+1); s.alive(name) {
+			list[name] = s.plan.BalancerStatus(i + 1).String()
+		}
+	}
+	for _, e := range s.plan.Endpoints() {
+		if s.alive(e.VM) {
+			list[e.VM] = s.plan.AgentStatus(e).String()
+		}
+	}
+	return list
+}
+
+func (s *system) alive(name string) bool {
+	p, ok := s.processes[name]
+	if !ok {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// journalOf returns what reached a backend server.
+func (s *system) journalOf(e fleet.Endpoint) []backend.Record {
+	records, err := get[[]backend.Record](s.plan.BackendAdmin(e).String(), "/journal")
+	if err != nil {
+		s.t.Fatalf("journal of %s: %v", e.VM, err)
+	}
+	return records
+}
+
+func (s *system) setFabric() {
+	if err := post(s.plan.FabricAdmin().String(), "/admin/faults", s.fabric); err != nil {
+		s.t.Fatalf("fabric: %v", err)
+	}
+}
+
+func (s *system) setPlatform(f platform.Faults) {
+	if err := post(s.plan.Platform().String(), "/admin/faults", f); err != nil {
+		s.t.Fatalf("platform: %v", err)
+	}
+}
+
+func (s *system) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("not within %v: %s", startTimeout, what)
+}
+
+var client = &http.Client{Timeout: 5 * time.Second}
+
+func get[T any](address, path string) (T, error) {
+	var value T
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return value, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	err = json.NewDecoder(resp.Body).Decode(&value)
+	return value, err
+}
+
+func post(address, path string, value any) error {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Post("http://"+address+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", path, resp.Status)
+	}
+	return nil
+}
+
+func joined[T fmt.Stringer](list []T) string {
+	texts := make([]string, len(list))
+	for i, x := range list {
+		texts[i] = x.String()
+	}
+	return strings.Join(texts, ",")
+}
