Carry a request from caller to backend server through separate processes

A caller's request travels caller -> fabric -> any of three balancers -> agent -> backend server and back; every datagram is sprayed at random.

Cause of the first failure: all dials came from the loopback default address, outside the peer networks, so control connections were closed at once; dials now use the process's own address. The stand-in for backend servers left connections open after the answer, so answers never ended; ruled out: a lost end mark in the agent (its writer had returned).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/admission"
 	"github.com/bergamotgw/bergamotgw/internal/backend"
 	"github.com/bergamotgw/bergamotgw/internal/connid"
+	"github.com/bergamotgw/bergamotgw/internal/handover"
 	"github.com/bergamotgw/bergamotgw/internal/health"
 	"github.com/bergamotgw/bergamotgw/internal/load"
 	"github.com/bergamotgw/bergamotgw/internal/metrics"
@@ -48,6 +49,8 @@
 	monitor *health.Monitor
 	work    *openWork
 	usage   *usage
+	// handovers reserves slots at peers.
+	handovers handover.Client
 
 	mu sync.Mutex
 	// section is the one in force; its Revision is 0 until the first is known.
@@ -99,11 +102,12 @@
 // NewAgent opens the agent's socket towards balancers.
 func NewAgent(c Config) (*Agent, error) {
 	a := &Agent{
-		config:   c,
-		gate:     admission.NewGate(c.Clock),
-		monitor:  c.Monitor,
-		work:     newOpenWork(),
-		draining: make(chan struct{}),
+		config:    c,
+		gate:      admission.NewGate(c.Clock),
+		monitor:   c.Monitor,
+		work:      newOpenWork(),
+		draining:  make(chan struct{}),
+		handovers: handover.Client{Local: c.Listen.Addr(), Clock: c.Clock},
 	}
 	a.usage = newUsage(c.Clock, a.gate)
 	conn, err := relay.NewConn(relay.Config{
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -136,7 +136,7 @@
 		Address: a.serviceAddress(),
 		WaitMs:  uint32(max(wait, 0).Milliseconds()),
 	}
-	reservation, reply, err := handover.Reserve(ctx, a.config.Clock, s.Load.Agent, o)
+	reservation, reply, err := a.handovers.Reserve(ctx, s.Load.Agent, o)
 	if err != nil {
 		return nil, answer.Unreachable
 	}
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -26,10 +26,18 @@
 	granted time.Time
 }
 
+// Client reserves slots at peers.
+type Client struct {
+	// Local is the address from which connections are opened.
+	Local netip.Addr
+	// Clock measures the age of reservations.
+	Clock clockwork.Clock
+}
+
 // Reserve asks the peer for a slot. Every error and every refusal means that
 // the request was not run. The reservation must be committed or withdrawn.
-func Reserve(ctx context.Context, clock clockwork.Clock, peer netip.AddrPort, o Offer) (*Reservation, answer.Preface, error) {
-	d := net.Dialer{Timeout: connectTimeout}
+func (x Client) Reserve(ctx context.Context, peer netip.AddrPort, o Offer) (*Reservation, answer.Preface, error) {
+	d := net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: x.Local.AsSlice()}}
 	c, err := d.DialContext(ctx, "tcp4", peer.String())
 	if err != nil {
 		return nil, answer.Preface{}, merry.Prepend(err, "connect to peer")
@@ -43,7 +51,7 @@
 		_ = c.Close()
 		return nil, a, err
 	}
-	return &Reservation{clock: clock, conn: c, granted: clock.Now()}, a, nil
+	return &Reservation{clock: x.Clock, conn: c, granted: x.Clock.Now()}, a, nil
 }
 
 func ask(c net.Conn, o Offer) (answer.Preface, error) {
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -115,8 +115,8 @@
 func (b *Backend) serve(ctx context.Context, c *proxyproto.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
+	defer func() { _ = c.Close() }()
+	context.AfterFunc(ctx, func() { _ = c.Close() })
 	reader := bufio.NewReader(c)
 	r, err := wire.Read(reader)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 func NewNode(c Config) (*Node, error) {
 	n := &Node{
 		Ledger:   ledger.NewLedger(c.Clock),
-		Server:   rpc.NewServer(),
+		Server:   rpc.NewServer(c.Address.Addr()),
 		Registry: prometheus.NewRegistry(),
 		config:   c,
 		client:   platform.NewClient(c.Common.Platform),
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,8 @@
 
 // Server holds the methods that a process offers on all its connections.
 type Server struct {
+	// local is the address from which connections are opened.
+	local netip.Addr
 	// methods are registered before the first connection and fixed thereafter.
 	methods map[string]method
 	// traffic counts the bytes of all connections.
@@ -38,9 +41,9 @@
 
 type method func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
 
-// NewServer returns a server without methods.
-func NewServer() *Server {
-	return &Server{methods: make(map[string]method)}
+// NewServer returns a server without methods that dials from the local address.
+func NewServer(local netip.Addr) *Server {
+	return &Server{local: local, methods: make(map[string]method)}
 }
 
 // Handle registers a method. The handler gets the connection to call back on.
@@ -84,7 +87,7 @@
 
 // Dial opens a connection and serves the methods on it.
 func (s *Server) Dial(ctx context.Context, address string) (*Conn, error) {
-	d := net.Dialer{Timeout: CallTimeout}
+	d := net.Dialer{Timeout: CallTimeout, LocalAddr: &net.TCPAddr{IP: s.local.AsSlice()}}
 	nc, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, merry.Wrap(err)
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -159,6 +159,28 @@
 	net.PacketConn
 }
 
+// bufferedConn is a socket whose kernel buffers can be resized.
+type bufferedConn interface {
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+}
+
+// SetReadBuffer sets the size of the kernel's receive buffer, in bytes.
+func (c plainConn) SetReadBuffer(n int) error {
+	if b, ok := c.PacketConn.(bufferedConn); ok {
+		return b.SetReadBuffer(n)
+	}
+	return nil
+}
+
+// SetWriteBuffer sets the size of the kernel's send buffer, in bytes.
+func (c plainConn) SetWriteBuffer(n int) error {
+	if b, ok := c.PacketConn.(bufferedConn); ok {
+		return b.SetWriteBuffer(n)
+	}
+	return nil
+}
+
 // Do runs a request and returns its whole answer. It repeats a request only
 // while the verdict is NotRun, the retry budget allows it and the context lasts.
 // The context's deadline is sent along. Errors are of type *Error.
