Hold the body of once requests until the grant

Cause: a caller that lost its flow could not tell whether a request that still waited for a slot had run, because its body was already on the way. Ruled out: dedup at the agent, which dies with the agent. Now the body of a once request follows the grant; until then every failure proves notRun.

Callers that prefer the latency have WithEarlyBody.

--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	busy     time.Duration
 	work     time.Duration
 	health   healthHistory
+	file     *os.File
 }
 
 // Config are the parameters of a backend server.
@@ -52,6 +54,8 @@
 	Slots int
 	// Behaviour is the first behaviour.
 	Behaviour Behaviour
+	// JournalFile keeps the journal when the process is killed; optional.
+	JournalFile string
 }
 
 // Behaviour is what a test may change while the server runs.
@@ -93,6 +97,9 @@
 
 // Run serves until the context ends.
 func (b *Backend) Run(ctx context.Context) error {
+	if err := b.openJournal(); err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp4", b.config.Listen.String())
 	if err != nil {
 		return merry.Prepend(err, "backend server")
@@ -112,6 +119,14 @@
 	}
 }
 
+func (b *Backend) openJournal() (err error) {
+	if b.config.JournalFile == "" {
+		return nil
+	}
+	b.file, err = os.OpenFile(b.config.JournalFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	return merry.Prepend(err, "journal")
+}
+
 func (b *Backend) serve(ctx context.Context, c *proxyproto.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/lab/backend/state.go
+++ b/internal/lab/backend/state.go
@@ -74,9 +74,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.journal = append(b.journal, r)
+	b.save(r)
 	return len(b.journal) - 1
 }
 
+// save appends a record to the journal file, which outlives the process.
+func (b *Backend) save(r Record) {
+	if b.file == nil {
+		return
+	}
+	line, err := json.Marshal(r)
+	if err == nil {
+		_, err = b.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
 func (b *Backend) answered(index int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -54,6 +54,8 @@
 	Broken int `json:"broken"`
 	// Refused counts failed attempts to open a session.
 	Refused int `json:"refused"`
+	// Records counts records that came in order.
+	Records uint64 `json:"records"`
 	// Missing and Twice count records that were skipped or came again.
 	Missing uint64 `json:"missing"`
 	Twice   uint64 `json:"twice"`
--- a/internal/lab/load/session.go
+++ b/internal/lab/load/session.go
@@ -90,11 +90,12 @@
 func (s *session) check(number uint64) {
 	switch {
 	case number < s.next:
-		s.tally.records(s.target.Service, 0, 1)
+		s.tally.records(s.target.Service, 0, 0, 1)
 	case number > s.next:
-		s.tally.records(s.target.Service, number-s.next, 0)
+		s.tally.records(s.target.Service, 0, number-s.next, 0)
 		s.next = number + 1
 	default:
+		s.tally.records(s.target.Service, 1, 0, 0)
 		s.next++
 	}
 }
--- a/internal/lab/load/tally.go
+++ b/internal/lab/load/tally.go
@@ -109,8 +109,9 @@
 	}
 }
 
-func (t *tally) records(service string, missing, twice uint64) {
+func (t *tally) records(service string, good, missing, twice uint64) {
 	t.session(service, func(s *Sessions) {
+		s.Records += good
 		s.Missing += missing
 		s.Twice += twice
 	})
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -92,12 +92,13 @@
 	Slots   int            `default:"2" help:"Requests that run at once."`
 	Speed   float64        `default:"1" help:"Speed relative to the nominal one."`
 	ColdMs  int            `default:"0" help:"Length of the cold start, in milliseconds."`
+	Journal string         `type:"path" help:"File that keeps the journal."`
 }
 
 // Run serves until the context ends.
 func (c *backendCommand) Run(ctx context.Context) error {
 	return backend.NewBackend(backend.Config{
-		VM: c.VM, Service: c.Service, Listen: c.Listen, Admin: c.Admin, Slots: c.Slots,
+		VM: c.VM, Service: c.Service, Listen: c.Listen, Admin: c.Admin, Slots: c.Slots, JournalFile: c.Journal,
 		Behaviour: backend.Behaviour{Speed: c.Speed, ColdMs: c.ColdMs},
 	}).Run(ctx)
 }
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -42,6 +42,7 @@
 	service   string
 	tls       *tls.Config
 	budget    *budget
+	earlyBody bool
 	transport *quic.Transport
 	socket    net.PacketConn
 
@@ -72,6 +73,12 @@
 	return func(x *Caller) { x.budget = newBudget(ratio) }
 }
 
+// WithEarlyBody sends the bodies of Once requests without waiting for the
+// grant. This saves one round trip; more failures then end as MayHaveRun.
+func WithEarlyBody() Option {
+	return func(x *Caller) { x.earlyBody = true }
+}
+
 // NewCaller returns a caller of the service at the address. It opens the first
 // flow with the first request.
 func NewCaller(address netip.AddrPort, service string, options ...Option) (*Caller, error) {
--- a/pkg/caller/try.go
+++ b/pkg/caller/try.go
@@ -18,7 +18,9 @@
 // errTruncated is the cause when an answer ended too early.
 var errTruncated = merry.Sentinel("truncated answer")
 
-// try sends a request once.
+// try sends a request once. The body of a request that must run at most once
+// waits for the grant, unless the caller was built to send it early: until
+// then every failure proves that the request was not run.
 func (c *Caller) try(ctx context.Context, r Request) (Answer, *Error) {
 	p := request.Preface{Service: c.service, Kind: r.Kind, Key: r.Key}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -31,20 +33,42 @@
 	defer f.streams.Add(-1)
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
 	defer stop()
-	go func() {
-		if _, err := s.Write(r.Body); err == nil {
-			_ = s.Close()
-		}
-	}()
-	a, err := c.receive(ctx, f, s)
+	early := c.earlyBody || r.Kind != request.Once
+	if early {
+		go sendBody(s, r.Body)
+	}
+	a, err := c.granted(ctx, f, s)
 	if err != nil {
 		cancelStream(s)
-		return Answer{}, err
+		return Answer{}, err.unsent(!early)
+	}
+	if !early {
+		go sendBody(s, r.Body)
+	}
+	body, rerr := io.ReadAll(s)
+	if rerr != nil {
+		cancelStream(s)
+		return Answer{}, failure(ctx, rerr)
 	}
-	if r.Whole != nil && !r.Whole(a.Body) {
+	if r.Whole != nil && !r.Whole(body) {
 		return Answer{}, &Error{Verdict: verdict.MayHaveRun, Err: errTruncated}
 	}
-	return a, nil
+	return Answer{Body: body, VM: a.VM}, nil
+}
+
+func sendBody(s *quic.Stream, body []byte) {
+	if _, err := s.Write(body); err == nil {
+		_ = s.Close()
+	}
+}
+
+// unsent turns a failure into proof that the request was not run, if no byte
+// of its body was sent.
+func (e *Error) unsent(unsent bool) *Error {
+	if !unsent {
+		return e
+	}
+	return &Error{Verdict: verdict.NotRun, Reason: e.Reason, Err: e.Err}
 }
 
 // stream opens a stream and writes the preface. An error means NotRun.
@@ -68,19 +92,6 @@
 	return f, s, nil
 }
 
-// receive reads the answer preface and the whole answer.
-func (c *Caller) receive(ctx context.Context, f *flow, s *quic.Stream) (Answer, *Error) {
-	p, err := c.granted(ctx, f, s)
-	if err != nil {
-		return Answer{}, err
-	}
-	body, rerr := io.ReadAll(s)
-	if rerr != nil {
-		return Answer{}, failure(ctx, rerr)
-	}
-	return Answer{Body: body, VM: p.VM}, nil
-}
-
 // granted reads the answer preface.
 func (c *Caller) granted(ctx context.Context, f *flow, s *quic.Stream) (answer.Preface, *Error) {
 	p, err := frame.Read[answer.Preface](s)
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -19,13 +19,24 @@
 func (s *system) command(t *testing.T, d *datadriven.TestData) string {
 	s.t = t
 	handlers := map[string]func(*datadriven.TestData) string{
-		"system":  s.system,
-		"load":    s.load,
-		"finish":  s.finish,
-		"signal":  s.signal,
-		"await":   s.await,
-		"sleep":   s.sleep,
-		"journal": s.checkJournal,
+		"system":          s.system,
+		"load":            s.load,
+		"finish":          s.finish,
+		"signal":          s.signal,
+		"await":           s.await,
+		"sleep":           s.sleep,
+		"journal":         s.checkJournal,
+		"fabric":          s.setFaults,
+		"platform":        s.platformFaults,
+		"backend":         s.setBehaviour,
+		"publish":         s.publish,
+		"vm":              s.vm,
+		"restart":         s.restart,
+		"mark":            s.mark,
+		"last-new":        s.lastNew,
+		"in-force":        s.inForce,
+		"same":            s.same,
+		"watch-revisions": s.watchRevisions,
 	}
 	h, ok := handlers[d.Cmd]
 	if !ok {
@@ -146,12 +157,13 @@
 	}
 	for _, x := range r.Sessions {
 		c["opened"] += x.Opened
+		c["records"] += int(x.Records)
 		c["moved"] += x.Moved
 		c["broken"] += x.Broken
 		c["missing"] += int(x.Missing)
 		c["twice"] += int(x.Twice)
 	}
-	for _, name := range []string{"opened", "moved", "broken", "missing", "twice"} {
+	for _, name := range []string{"opened", "records", "moved", "broken", "missing", "twice"} {
 		c[name] += 0
 	}
 	return c
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -38,6 +38,10 @@
 	outcomes []load.Outcome
 	// revisions holds the last published revision of each key.
 	revisions map[string]uint64
+	// marks are remembered times.
+	marks map[string]time.Time
+	// watch counts revisions that go back; nil unless started.
+	watch *revisionWatch
 }
 
 // process is a child.
@@ -56,7 +60,7 @@
 }
 
 func newSystem(t *testing.T) *system {
-	return &system{t: t, processes: make(map[string]*process), revisions: make(map[string]uint64)}
+	return &system{t: t, processes: make(map[string]*process), revisions: make(map[string]uint64), marks: make(map[string]time.Time)}
 }
 
 // stop ends every process that is left.
@@ -129,7 +133,7 @@
 
 func (s *system) startBackend(e fleet.Endpoint) {
 	s.spawn("backend-"+e.VM, "bergamotlab", "backend", "--vm", e.VM, "--service", e.Service.Name,
-		"--listen", s.plan.Backend(e).String(), "--admin", s.plan.BackendAdmin(e).String(), "--slots", fmt.Sprint(e.Service.Slots))
+		"--listen", s.plan.Backend(e).String(), "--admin", s.plan.BackendAdmin(e).String(), "--slots", fmt.Sprint(e.Service.Slots), "--journal", s.journalFile(e))
 }
 
 func (s *system) startAgent(e fleet.Endpoint) {
@@ -181,12 +185,25 @@
 	}
 }
 
-// journalOf returns what reached a backend server.
+func (s *system) journalFile(e fleet.Endpoint) string {
+	return filepath.Join(s.plan.Dir, e.VM+".journal")
+}
+
+// journalOf returns what reached a backend server, through all its restarts.
 func (s *system) journalOf(e fleet.Endpoint) []backend.Record {
-	records, err := get[[]backend.Record](s.plan.BackendAdmin(e).String(), "/journal")
+	f, err := os.Open(s.journalFile(e))
 	if err != nil {
 		s.t.Fatalf("journal of %s: %v", e.VM, err)
 	}
+	defer func() { _ = f.Close() }()
+	var records []backend.Record
+	for d := json.NewDecoder(f); d.More(); {
+		var r backend.Record
+		if err := d.Decode(&r); err != nil {
+			s.t.Fatalf("journal of %s: %v", e.VM, err)
+		}
+		records = append(records, r)
+	}
 	return records
 }
 
