--- a/agent.go
+++ b/agent.go
@@ -64,7 +64,7 @@
 	if err := a.newAgent(); err != nil {
 		return nil, err
 	}
-	handovers := &handover.Server{Acquire: a.agent.Acquire, VM: s.Name}
+	handovers := &handover.Server{Acquire: a.agent.Acquire, Lease: handover.ServerLease, VM: s.Name}
 	a.node.Port.Handle(peerport.Handover, handovers.Serve)
 	metrics.RegisterRelay(a.node.Registry, a.agent.RelayCounts(), a.agent.Flows)
 	return a, nil
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// waitTimeout bounds the wait for a task of the test.
+const waitTimeout = 5 * time.Second
+
+// requests are the tasks of a script.
+type requests struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	gate  *Gate
+
+	mu sync.Mutex
+	// open counts requests that have not ended their wait.
+	open int
+	// outcome holds the result of each request that ended its wait.
+	outcome map[string]string
+	cancel  map[string]context.CancelFunc
+}
+
+// TestGate runs a script: limits slots=N queue=N; acquire NAME KIND
+// [timeout=ms]; release [service=ms]; cancel NAME; state.
+func TestGate(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		clock := clockwork.NewFakeClock()
+		r := &requests{t: t, clock: clock, gate: NewGate(clock), outcome: make(map[string]string), cancel: make(map[string]context.CancelFunc)}
+		datadriven.RunTest(t, path, r.command)
+	})
+}
+
+func (r *requests) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "limits":
+		var slots, queue int
+		d.ScanArgs(t, "slots", &slots)
+		d.ScanArgs(t, "queue", &queue)
+		r.gate.SetLimits(slots, queue)
+	case "acquire":
+		r.acquire(d)
+	case "release":
+		service := 0
+		d.MaybeScanArgs(t, "service", &service)
+		r.gate.Release(time.Duration(service) * time.Millisecond)
+	case "cancel":
+		r.cancel[d.CmdArgs[0].Key]()
+	case "advance":
+		ms := 0
+		d.ScanArgs(t, "ms", &ms)
+		r.clock.Advance(time.Duration(ms) * time.Millisecond)
+	}
+	return r.settled()
+}
+
+func (r *requests) acquire(d *datadriven.TestData) {
+	name, kind := d.CmdArgs[0].Key, request.Kind(d.CmdArgs[1].Key)
+	ctx, cancel := context.WithCancel(context.Background())
+	timeout := 0
+	if d.MaybeScanArgs(r.t, "timeout", &timeout); timeout > 0 {
+		ctx = deadlineContext{ctx, r.clock.Now().Add(time.Duration(timeout) * time.Millisecond)}
+	}
+	r.cancel[name] = cancel
+	r.mu.Lock()
+	r.open++
+	r.mu.Unlock()
+	go func() {
+		reason := r.gate.Acquire(ctx, kind)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.open--
+		r.outcome[name] = describe(reason)
+	}()
+}
+
+// deadlineContext states a deadline of the fake clock.
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+func describe(reason answer.Reason) string {
+	if reason == "" {
+		return "granted"
+	}
+	return string(reason)
+}
+
+// settled prints the outcomes since the last command and the gate's state, once
+// every open request is in the queue.
+func (r *requests) settled() string {
+	r.eventually(func() bool {
+		queued := r.gate.Load().Queued
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.open == queued
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines []string
+	for name, o := range r.outcome {
+		lines = append(lines, name+": "+o)
+	}
+	clear(r.outcome)
+	slices.Sort(lines)
+	l := r.gate.Load()
+	lines = append(lines, fmt.Sprintf("used %d of %d, queued %d, mean service %v", l.Used, l.Slots, l.Queued, l.MeanService))
+	return strings.Join(lines, "\n")
+}
+
+func (r *requests) eventually(ok func() bool) {
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	r.t.Fatal("a request neither waits nor ended")
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -107,7 +107,7 @@
 		monitor:   c.Monitor,
 		work:      newOpenWork(),
 		draining:  make(chan struct{}),
-		handovers: handover.Client{Local: c.Listen.Addr(), Clock: c.Clock},
+		handovers: handover.Client{Local: c.Listen.Addr(), Clock: c.Clock, Lease: handover.ClientLease},
 	}
 	a.usage = newUsage(c.Clock, a.gate)
 	conn, err := relay.NewConn(relay.Config{
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/bergamotgw/bergamotgw/internal/document"
+	"github.com/bergamotgw/bergamotgw/internal/fault"
+	"github.com/bergamotgw/bergamotgw/internal/schema"
+	"github.com/bergamotgw/bergamotgw/internal/settings"
+)
+
+type checkCommand struct {
+	File string `arg:"" type:"path" help:"File to check."`
+	As   string `enum:"document,balancer,agent,connect" default:"document" help:"What the file is: ${enum}."`
+}
+
+// Run prints every fault of a file. Any fault makes it fail.
+func (c *checkCommand) Run(stdout io.Writer) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	faults := c.faults(raw)
+	for _, f := range faults {
+		_, _ = fmt.Fprintf(stdout, "%s: %s\n", c.File, f)
+	}
+	if len(faults) > 0 {
+		return merry.Errorf("%d faults", len(faults))
+	}
+	_, err = fmt.Fprintf(stdout, "%s: no faults\n", c.File)
+	return err
+}
+
+func (c *checkCommand) faults(raw []byte) []fault.Fault {
+	var faults []fault.Fault
+	switch c.As {
+	case "balancer":
+		_, faults = settings.Parse[settings.Balancer](raw)
+	case "agent":
+		_, faults = settings.Parse[settings.Agent](raw)
+	case "connect":
+		_, faults = settings.Parse[settings.OnRamp](raw)
+	default:
+		_, faults = document.Parse(raw)
+	}
+	return faults
+}
+
+type schemaCommand struct{}
+
+// Run prints the JSON Schema of the document.
+func (c *schemaCommand) Run(stdout io.Writer) error {
+	_, err := io.WriteString(stdout, schema.Document)
+	return err
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,11 @@
 type commands struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer, which forwards datagrams between the fabric and agents."`
 	Agent    agentCommand    `cmd:"" help:"Run an agent, which ends flows beside a backend server."`
+	Connect  connectCommand  `cmd:"" help:"Run an on-ramp, which carries TCP connections to a service."`
+	Check    checkCommand    `cmd:"" help:"Check the document or a settings file, and print every fault."`
+	Schema   schemaCommand   `cmd:"" help:"Print the JSON Schema of the document."`
+	Report   reportCommand   `cmd:"" help:"Print what is in force at running processes."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole system with stand-ins on loopback, with failures."`
 }
 
 // Main runs the program and returns its exit code.
@@ -60,48 +65,6 @@
 	return exit
 }
 
-type balancerCommand struct {
-	Settings string `required:"" type:"path" help:"Settings file, JSON."`
-}
-
-// Run runs a balancer until it is told to leave.
-func (c *balancerCommand) Run() error {
-	s, err := settings.Load[settings.Balancer](c.Settings)
-	if err != nil {
-		return err
-	}
-	log := logs.NewLogger(os.Stderr, s.Log).With().Str("vm", s.Name).Logger()
-	b, err := bergamotgw.NewBalancer(s, bergamotgw.WithLogger(log))
-	if err != nil {
-		return err
-	}
-	return serve(b, log, func() (settings.Log, error) {
-		s, err := settings.Load[settings.Balancer](c.Settings)
-		return s.Log, err
-	})
-}
-
-type agentCommand struct {
-	Settings string `required:"" type:"path" help:"Settings file, JSON."`
-}
-
-// Run runs an agent until it is told to leave and has finished.
-func (c *agentCommand) Run() error {
-	s, err := settings.Load[settings.Agent](c.Settings)
-	if err != nil {
-		return err
-	}
-	log := logs.NewLogger(os.Stderr, s.Log).With().Str("vm", s.Name).Logger()
-	a, err := bergamotgw.NewAgent(s, bergamotgw.WithLogger(log))
-	if err != nil {
-		return err
-	}
-	return serve(a, log, func() (settings.Log, error) {
-		s, err := settings.Load[settings.Agent](c.Settings)
-		return s.Log, err
-	})
-}
-
 // serve runs a process under signals: the first SIGTERM or SIGINT drains, the
 // second stops at once, SIGHUP reloads.
 func serve(p bergamotgw.Process, log zerolog.Logger, readLog func() (settings.Log, error)) error {
--- /dev/null
+++ b/internal/cli/processes.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw"
+	"github.com/bergamotgw/bergamotgw/internal/logs"
+	"github.com/bergamotgw/bergamotgw/internal/settings"
+)
+
+type balancerCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file, JSON."`
+}
+
+// Run runs a balancer until it is told to leave.
+func (c *balancerCommand) Run() error {
+	return run(c.Settings, settings.Balancer.Logging, func(s settings.Balancer, l zerolog.Logger) (bergamotgw.Process, error) {
+		return bergamotgw.NewBalancer(s, bergamotgw.WithLogger(l.With().Str("vm", s.Name).Logger()))
+	})
+}
+
+type agentCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file, JSON."`
+}
+
+// Run runs an agent until it is told to leave and has finished.
+func (c *agentCommand) Run() error {
+	return run(c.Settings, settings.Agent.Logging, func(s settings.Agent, l zerolog.Logger) (bergamotgw.Process, error) {
+		return bergamotgw.NewAgent(s, bergamotgw.WithLogger(l.With().Str("vm", s.Name).Logger()))
+	})
+}
+
+type connectCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file, JSON."`
+}
+
+// Run runs an on-ramp until it is told to leave and no connection is left.
+func (c *connectCommand) Run() error {
+	return run(c.Settings, settings.OnRamp.Logging, func(s settings.OnRamp, l zerolog.Logger) (bergamotgw.Process, error) {
+		return bergamotgw.NewOnRamp(s, bergamotgw.WithLogger(l))
+	})
+}
+
+// run loads the settings of a process and serves it.
+func run[T settings.Checkable](path string, logging func(T) settings.Log, build func(T, zerolog.Logger) (bergamotgw.Process, error)) error {
+	s, err := settings.Load[T](path)
+	if err != nil {
+		return err
+	}
+	log := logs.NewLogger(os.Stderr, logging(s))
+	p, err := build(s, log)
+	if err != nil {
+		return err
+	}
+	return serve(p, log, func() (settings.Log, error) {
+		s, err := settings.Load[T](path)
+		return logging(s), err
+	})
+}
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -22,6 +22,7 @@
 // Reservation is a slot at a peer that was granted and not yet used.
 type Reservation struct {
 	clock   clockwork.Clock
+	lease   time.Duration
 	conn    net.Conn
 	granted time.Time
 }
@@ -32,6 +33,8 @@
 	Local netip.Addr
 	// Clock measures the age of reservations.
 	Clock clockwork.Clock
+	// Lease is how long a granted reservation may be committed.
+	Lease time.Duration
 }
 
 // Reserve asks the peer for a slot. Every error and every refusal means that
@@ -51,7 +54,7 @@
 		_ = c.Close()
 		return nil, a, err
 	}
-	return &Reservation{clock: x.Clock, conn: c, granted: x.Clock.Now()}, a, nil
+	return &Reservation{clock: x.Clock, lease: x.Lease, conn: c, granted: x.Clock.Now()}, a, nil
 }
 
 func ask(c net.Conn, o Offer) (answer.Preface, error) {
@@ -70,7 +73,7 @@
 // Commit starts the request at the peer. After ErrExpired, here or from the
 // first read, the request was not run.
 func (r *Reservation) Commit() (*Execution, error) {
-	if r.clock.Since(r.granted) > LeaseTime-commitMargin {
+	if r.clock.Since(r.granted) > r.lease {
 		r.Withdraw()
 		return nil, ErrExpired
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,10 +13,11 @@
 
 // Timing of a reservation.
 const (
-	// LeaseTime is how long a peer keeps a granted reservation without commit.
-	LeaseTime = 2 * time.Second
-	// commitMargin is how much earlier the holder of the flow gives up.
-	commitMargin = 500 * time.Millisecond
+	// ServerLease is how long a peer keeps a granted reservation without commit.
+	ServerLease = 2 * time.Second
+	// ClientLease is how long the holder of the flow may commit; it is shorter
+	// by more than the longest way between the two.
+	ClientLease = 1500 * time.Millisecond
 	// connectTimeout bounds the TCP handshake with a peer.
 	connectTimeout = 500 * time.Millisecond
 	// answerMargin is added to the wait for a slot to bound the wait for the answer.
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -18,6 +18,8 @@
 type Server struct {
 	// Acquire takes a slot, or gives the reason for a refusal.
 	Acquire func(ctx context.Context, o Offer) (Slot, answer.Reason)
+	// Lease is how long a granted reservation waits for its commit.
+	Lease time.Duration
 	// VM is the name of the backend server VM, for answers.
 	VM string
 }
@@ -59,7 +61,7 @@
 // grant reports whether the peer commits before the lease runs out. The read
 // deadline is monotonic, so a process that wakes up late finds it exceeded.
 func (s *Server) grant(c net.Conn) bool {
-	_ = c.SetReadDeadline(time.Now().Add(LeaseTime))
+	_ = c.SetReadDeadline(time.Now().Add(s.Lease))
 	if err := frame.Write(c, answer.Preface{Granted: true, VM: s.VM}); err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,198 @@
+// Package demo runs the workloads of both customers at today's sizes on a whole
+// system in one process, loses a balancer, drains a backend server, and judges
+// the outcome.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/lab/backend"
+	"github.com/bergamotgw/bergamotgw/internal/lab/fabric"
+	"github.com/bergamotgw/bergamotgw/internal/lab/fleet"
+	"github.com/bergamotgw/bergamotgw/internal/lab/inprocess"
+	"github.com/bergamotgw/bergamotgw/internal/lab/load"
+	"github.com/bergamotgw/bergamotgw/internal/vm"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// Times of the demo, from its start.
+const (
+	silentAt    = 6 * time.Second
+	noticedAt   = 9 * time.Second
+	leavingAt   = 14 * time.Second
+	duration    = 24 * time.Second
+	progressGap = 2 * time.Second
+)
+
+// leavingVM is the VM that drains.
+const leavingVM = "order-1"
+
+// oneWayDelayMs is half of the round trip between callers and balancers.
+const oneWayDelayMs = 1.0
+
+// Demo runs the demo.
+type Demo struct {
+	// Output takes progress and the table.
+	Output io.Writer
+	// Octet is the second octet of all addresses.
+	Octet uint8
+	// Seed makes the load repeatable.
+	Seed uint64
+}
+
+// Run returns an error if a promise broke.
+func (d Demo) Run(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "bergamotgw-demo-")
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	plan := Plan(dir, d.Octet)
+	d.print("starting %d balancers and %d agents with their backend servers", plan.Balancers, len(plan.Endpoints()))
+	system, err := inprocess.Start(ctx, plan, d.Seed)
+	if err != nil {
+		return err
+	}
+	defer system.Stop()
+	result, err := d.drive(ctx, plan, system)
+	if err != nil {
+		return err
+	}
+	return d.judge(plan, system, result)
+}
+
+// Plan returns both customers' services at today's sizes.
+func Plan(dir string, octet uint8) fleet.Plan {
+	orders := []request.Kind{request.Session, request.Once}
+	pages := []request.Kind{request.Repeatable}
+	return fleet.Plan{
+		Dir: dir, Octet: octet, Balancers: 3, Zones: 4, LogLevel: "error",
+		Services: []fleet.Service{
+			{Name: "pass", Owner: "skyconnect-pass", Endpoints: 7, Slots: 2, Kinds: orders},
+			{Name: "portal", Owner: "skyconnect-portal", Endpoints: 4, Slots: 2, Kinds: pages},
+			{Name: "order", Owner: "print-floor", Endpoints: 7, Slots: 5, Kinds: orders},
+			{Name: "proof", Owner: "office", Endpoints: 3, Slots: 5, Kinds: pages},
+		},
+	}
+}
+
+// Targets returns the load of both customers at the given share of capacity.
+func Targets(plan fleet.Plan, utilisation float64) []load.Target {
+	work := map[string]time.Duration{"pass": 60 * time.Millisecond, "portal": 40 * time.Millisecond, "order": 80 * time.Millisecond, "proof": 100 * time.Millisecond}
+	var list []load.Target
+	for _, s := range plan.Services {
+		t := load.Target{
+			Service: s.Name, Address: plan.Address(s.Name), Callers: 40, MeanWork: work[s.Name],
+			Rate:     utilisation * float64(s.Endpoints*s.Slots) / work[s.Name].Seconds(),
+			Deadline: 8 * time.Second, Body: 400, Answer: 3000,
+		}
+		if s.Kinds[0] == request.Session {
+			t.Once, t.Sessions, t.SessionInterval = 1, 20, 50*time.Millisecond
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+func (d Demo) drive(ctx context.Context, plan fleet.Plan, system *inprocess.System) (load.Result, error) {
+	tls, err := plan.CallerTLS()
+	if err != nil {
+		return load.Result{}, err
+	}
+	faults := fabric.Faults{Balancers: plan.Fronts(), DelayMs: oneWayDelayMs}
+	system.Fabric.SetFaults(faults)
+	l := load.NewLoad(Targets(plan, 0.5), tls, duration, d.Seed)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.progress(ctx, l)
+	at := func(t time.Duration, text string, act func()) {
+		time.AfterFunc(t, func() {
+			d.print("%s", text)
+			act()
+		})
+	}
+	at(silentAt, "balancer 2 goes silent; the fabric still uses it", func() {
+		faults.Silent = plan.Fronts()[1:2]
+		system.Fabric.SetFaults(faults)
+	})
+	at(noticedAt, "the fabric notices and uses balancers 1 and 3", func() {
+		faults.Balancers = append(plan.Fronts()[:1:1], plan.Fronts()[2])
+		system.Fabric.SetFaults(faults)
+	})
+	at(leavingAt, "the platform lists VM "+leavingVM+" as leaving; it drains", func() {
+		system.Platform.Publish([]entry.Entry{plan.AgentVM(plan.Endpoint(leavingVM), 2, vm.Leaving)}...)
+	})
+	return l.Run(ctx)
+}
+
+func (d Demo) progress(ctx context.Context, l *load.Load) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(progressGap):
+		}
+		sent, ran, open, broken := 0, 0, 0, 0
+		r := l.Progress()
+		for _, k := range r.Kinds {
+			sent, ran = sent+k.Sent, ran+k.Ran
+		}
+		for _, s := range r.Sessions {
+			open, broken = open+s.Opened-s.Moved, broken+s.Broken
+		}
+		d.print("  %d requests ended, %d ran; %d sessions open, %d broken", sent, ran, open, broken)
+	}
+}
+
+// judge prints the table and checks the promises.
+func (d Demo) judge(plan fleet.Plan, system *inprocess.System, r load.Result) error {
+	d.print("")
+	if err := r.Write(d.Output); err != nil {
+		return err
+	}
+	d.print("")
+	for _, s := range plan.Services {
+		stats := lo.Reject(system.Stats(s.Name), func(x backend.Stats, _ int) bool { return x.VM == leavingVM })
+		d.print("imbalance of %s: %.2f (1.00 is perfect; without the VM that left)", s.Name, load.Imbalance(stats))
+	}
+	if broken := d.broken(system, r); len(broken) > 0 {
+		return merry.Errorf("broken promises: %v", broken)
+	}
+	d.print("every promise held")
+	return nil
+}
+
+// broken lists the promises that were broken.
+func (d Demo) broken(system *inprocess.System, r load.Result) []string {
+	var list []string
+	add := func(n int, what string) {
+		if n > 0 {
+			list = append(list, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	for _, k := range r.Kinds {
+		add(k.Mismatched, "answers to another request")
+		add(k.MayHaveRun, k.Service+" requests without a verdict")
+	}
+	for _, s := range r.Sessions {
+		add(s.Broken, s.Service+" sessions broken")
+		add(int(s.Missing+s.Twice), s.Service+" records missing or twice")
+	}
+	a := load.NewAudit(system.Journals(), r.Outcomes)
+	add(a.FalseNotRun, "requests told notRun that ran")
+	add(a.OnceTwice, "requests that must run once and ran twice")
+	add(a.WrongService, "requests at a wrong service")
+	return list
+}
+
+func (d Demo) print(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.Output, format+"\n", args...)
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,67 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotgw/bergamotgw/internal/entry"
+)
+
+// init makes runs repeatable; -rapid.seed on the command line overrides it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
+// TestLedgersConverge offers the same entries to several ledgers in different
+// orders and with repetition. No revision in force may ever go back, and in the
+// end all ledgers hold the same.
+func TestLedgersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		published := rapid.SliceOfN(rapid.Custom(drawEntry), 1, 12).Draw(t, "published")
+		var roots []uint64
+		for i := range 3 {
+			l := NewLedger(clockwork.NewFakeClock())
+			order := rapid.Permutation(published).Draw(t, fmt.Sprintf("order %d", i))
+			again := rapid.SliceOf(rapid.SampledFrom(published)).Draw(t, fmt.Sprintf("again %d", i))
+			offerAll(t, l, append(order, again...))
+			roots = append(roots, l.Root())
+		}
+		if roots[0] != roots[1] || roots[1] != roots[2] {
+			t.Fatalf("ledgers differ: %x", roots)
+		}
+	})
+}
+
+func offerAll(t *rapid.T, l *Ledger, entries []entry.Entry) {
+	highest := make(map[string]entry.Ref)
+	for _, e := range entries {
+		outcome := l.Offer(e)
+		now, ok := l.Get(e.Key)
+		if !ok {
+			continue
+		}
+		if before, had := highest[e.Key]; had && before.Supersedes(now.Ref()) {
+			t.Fatalf("%s went back from revision %d to %d", e.Key, before.Revision, now.Revision)
+		}
+		if outcome == Accepted && now.Ref() != e.Ref() {
+			t.Fatalf("accepted revision %d, in force is %d", e.Revision, now.Revision)
+		}
+		if l.Wants(e.Ref()) {
+			t.Fatalf("%s revision %d is wanted after it was offered", e.Key, e.Revision)
+		}
+		highest[e.Key] = now.Ref()
+	}
+}
+
+// drawEntry draws good sections, broken ones, and several texts under one revision.
+func drawEntry(t *rapid.T) entry.Entry {
+	service := rapid.SampledFrom([]string{"pass", "portal"}).Draw(t, "service")
+	revision := rapid.Uint64Range(1, 4).Draw(t, "revision")
+	owner := rapid.SampledFrom([]string{"left", "right", ""}).Draw(t, "owner")
+	raw := fmt.Sprintf(`{"service":%q,"owner":%q,"revision":%d,"addresses":["10.0.0.1:1"],"kinds":["once"],"limits":{}}`, service, owner, revision)
+	return entry.Entry{Key: entry.SectionPrefix + service, Revision: revision, Raw: []byte(raw)}
+}
--- a/internal/peerport/peerport.go
+++ b/internal/peerport/peerport.go
@@ -114,3 +114,8 @@
 func (c *peekedConn) Read(b []byte) (int, error) {
 	return c.reader.Read(b)
 }
+
+// Address returns the address of the listening socket.
+func (p *Port) Address() netip.AddrPort {
+	return p.listener.Addr().(*net.TCPAddr).AddrPort()
+}
--- /dev/null
+++ b/internal/placement/balanced/balanced_test.go
@@ -0,0 +1,58 @@
+package balanced
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bergamotgw/bergamotgw/internal/load"
+	"github.com/bergamotgw/bergamotgw/internal/placement"
+	"github.com/bergamotgw/bergamotgw/internal/placement/available"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+)
+
+// TestOrder prints the order of sites. Each line of input is a site: its
+// number, and any of local, utilisation=x, slots=n, state=up|draining|down.
+// random=x is the number drawn.
+func TestOrder(t *testing.T) {
+	datadriven.RunTest(t, "testdata/order.txt", func(t *testing.T, d *datadriven.TestData) string {
+		random := 0.5
+		d.MaybeScanArgs(t, "random", &random)
+		v := placement.View{Kind: request.Once}
+		for _, line := range strings.Split(d.Input, "\n") {
+			v.Sites = append(v.Sites, site(t, line))
+		}
+		p := placement.NewPolicy(placement.WithRule(NewRule(func() float64 { return random })), placement.WithRule(available.NewRule()))
+		var out []string
+		for _, s := range p.Order(v) {
+			out = append(out, fmt.Sprint(s.Load.Agent.Port()))
+		}
+		return strings.Join(out, " ")
+	})
+}
+
+func site(t *testing.T, line string) placement.Site {
+	fields := strings.Fields(line)
+	s := placement.Site{Load: load.Report{State: load.Up, Slots: 2, Agent: netip.MustParseAddrPort("10.0.0.1:" + fields[0])}}
+	for _, f := range fields[1:] {
+		key, value, _ := strings.Cut(f, "=")
+		var err error
+		switch key {
+		case "local":
+			s.Local = true
+		case "utilisation":
+			_, err = fmt.Sscan(value, &s.Load.Utilisation)
+		case "slots":
+			_, err = fmt.Sscan(value, &s.Load.Slots)
+		case "state":
+			s.Load.State = load.State(value)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -150,7 +150,7 @@
 	c.address(s.Address, "address")
 	c.text(s.Service, "service")
 	kind := request.Kind(s.Kind)
-	c.require(kind == request.Session || kind == request.Repeatable, "kind", "%q is not session or repeatable", s.Kind)
+	c.require(kind.Valid(), "kind", "%q is not session, once or repeatable", s.Kind)
 	c.file(s.AuthorityFile, "authorityFile")
 	c.log(s.Log)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,11 +1,7 @@
 // Package settings reads and checks the settings files of the processes.
 package settings
 
-import (
-	"encoding/json"
-	"net/netip"
-	"time"
-)
+import "net/netip"
 
 // Common are the settings that every process has.
 type Common struct {
@@ -89,33 +85,20 @@
 	Address netip.AddrPort `json:"address"`
 	// Service is the name of the service.
 	Service string `json:"service"`
-	// Kind is session or repeatable.
+	// Kind is the kind of every stream: session, once or repeatable.
 	Kind string `json:"kind"`
-	// Timeout bounds requests; 0 means none. Sessions have none.
-	Timeout Duration `json:"timeout"`
 	// AuthorityFile holds the PEM certificates that agents are checked against.
 	AuthorityFile string `json:"authorityFile"`
-	// Status is the TCP address of metrics; optional.
-	Status netip.AddrPort `json:"status,omitzero"`
 	// Log selects level and form of the log.
 	Log Log `json:"log"`
 }
 
-// Duration is a time.Duration written as text with a unit, such as "1.5s".
-type Duration time.Duration
-
-// UnmarshalJSON reads the text form.
-func (d *Duration) UnmarshalJSON(b []byte) error {
-	var text string
-	if err := json.Unmarshal(b, &text); err != nil {
-		return err
-	}
-	v, err := time.ParseDuration(text)
-	*d = Duration(v)
-	return err
+// Logging returns the settings of the log.
+func (c Common) Logging() Log {
+	return c.Log
 }
 
-// MarshalJSON writes the text form.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+// Logging returns the settings of the log.
+func (s OnRamp) Logging() Log {
+	return s.Log
 }
--- a/pkg/caller/session.go
+++ b/pkg/caller/session.go
@@ -9,7 +9,7 @@
 	"github.com/bergamotgw/bergamotgw/pkg/request"
 )
 
-// Session is a stream that lives for hours. It implements io.ReadWriteCloser.
+// Session is a stream that was granted, such as one that lives for hours. It implements io.ReadWriteCloser.
 // Close ends the direction to the backend server only.
 type Session struct {
 	*quic.Stream
@@ -21,9 +21,16 @@
 // Session opens a session. offset is the count of answer bytes that a resumed
 // session already holds. Errors are of type *Error.
 func (c *Caller) Session(ctx context.Context, key string, offset uint64) (*Session, error) {
+	return c.Open(ctx, request.Session, key, offset)
+}
+
+// Open opens a stream of any kind, for applications that write and read it
+// themselves. It is opened again only while nothing was written. Errors are of
+// type *Error.
+func (c *Caller) Open(ctx context.Context, kind request.Kind, key string, offset uint64) (*Session, error) {
 	c.budget.first()
 	for tries := 1; ; tries++ {
-		s, err := c.trySession(ctx, key, offset)
+		s, err := c.tryOpen(ctx, request.Preface{Service: c.service, Kind: kind, Key: key, Offset: offset})
 		if err == nil {
 			return s, nil
 		}
@@ -36,8 +43,7 @@
 	}
 }
 
-func (c *Caller) trySession(ctx context.Context, key string, offset uint64) (*Session, *Error) {
-	p := request.Preface{Service: c.service, Kind: request.Session, Key: key, Offset: offset}
+func (c *Caller) tryOpen(ctx context.Context, p request.Preface) (*Session, *Error) {
 	f, s, err := c.stream(ctx, p)
 	if err != nil {
 		return nil, err
@@ -50,7 +56,7 @@
 	if err != nil {
 		cancelStream(s)
 		f.streams.Add(-1)
-		return nil, err
+		return nil, err.unsent(true)
 	}
 	return &Session{Stream: s, flow: f, vm: a.VM, done: sync.OnceFunc(func() { f.streams.Add(-1) })}, nil
 }
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/bergamotgw/bergamotgw/internal/lab/backend"
 	"github.com/bergamotgw/bergamotgw/internal/lab/fleet"
 	"github.com/bergamotgw/bergamotgw/internal/lab/load"
 	"github.com/bergamotgw/bergamotgw/pkg/request"
@@ -222,33 +223,13 @@
 // checkJournal compares the verdicts that callers got with what reached the
 // backend servers.
 func (s *system) checkJournal(*datadriven.TestData) string {
-	runs := make(map[string]int)
-	wrongService := 0
+	journals := make(map[string][]backend.Record)
 	for _, e := range s.plan.Endpoints() {
-		for _, r := range s.journalOf(e) {
-			if r.Kind != string(request.Session) {
-				runs[r.ID]++
-			}
-			if r.Service != e.Service.Name {
-				wrongService++
-			}
-		}
-	}
-	falseNotRun, onceTwice, lost := 0, 0, 0
-	for _, o := range s.outcomes {
-		n := runs[o.ID]
-		if o.Verdict == "notRun" && n > 0 {
-			falseNotRun++
-		}
-		if o.Verdict == "ran" && n == 0 {
-			lost++
-		}
-		if o.Kind == string(request.Once) && n > 1 {
-			onceTwice++
-		}
+		journals[e.Service.Name] = append(journals[e.Service.Name], s.journalOf(e)...)
 	}
+	a := load.NewAudit(journals, s.outcomes)
 	return fmt.Sprintf("notRun that ran: %d\nonce run twice: %d\nran without trace: %d\nat a wrong service: %d\n",
-		falseNotRun, onceTwice, lost, wrongService)
+		a.FalseNotRun, a.OnceTwice, a.Untraced, a.WrongService)
 }
 
 func milliseconds(ms float64) time.Duration {
