--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -23,9 +23,10 @@
 const readTimeout = 5 * time.Second
 
 type commands struct {
-	Platform platformCommand `cmd:"" help:"Run a stand-in for the configuration service."`
-	Fabric   fabricCommand   `cmd:"" help:"Run a stand-in for the network fabric."`
-	Backend  backendCommand  `cmd:"" help:"Run a stand-in for a backend server."`
+	Platform   platformCommand   `cmd:"" help:"Run a stand-in for the configuration service."`
+	Fabric     fabricCommand     `cmd:"" help:"Run a stand-in for the network fabric."`
+	Backend    backendCommand    `cmd:"" help:"Run a stand-in for a backend server."`
+	Experiment experimentCommand `cmd:"" help:"Measure placement under load and faults."`
 }
 
 // Main runs the program and returns its exit code.
--- a/pkg/caller/flow.go
+++ b/pkg/caller/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -144,7 +145,7 @@
 				return r.conn, nil
 			}
 			failed++
-			if ctx.Err() != nil || failed == maxAttempts {
+			if ctx.Err() != nil || failed == maxAttempts || isFinal(r.err) {
 				go closeRest(results, started-failed)
 				return nil, merry.Prepend(r.err, "open flow")
 			}
@@ -156,6 +157,13 @@
 	}
 }
 
+// isFinal reports whether other attempts would fail alike: the agent's
+// certificate is not one for the service.
+func isFinal(err error) bool {
+	var transport *quic.TransportError
+	return errors.As(err, &transport) && transport.ErrorCode.IsCryptoError()
+}
+
 type attempt struct {
 	conn *quic.Conn
 	err  error
