Ask further sites when the preferred queue has no room

Cause: when no slot was free, a request waited at the one site with the shortest expected wait. Reports of peers are up to a second old, so many requests chose the same peer, found its queue full, and were refused although others had room. Ruled out: queues too short (utilisation was 0.75 to 0.83).

--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/handover"
@@ -87,19 +89,42 @@
 	return nil, answer.Full
 }
 
-// placeWaiting waits for a slot at the site with the shortest expected wait.
+// placeWaiting waits for a slot at the site with the shortest expected wait,
+// and asks the next one if that has no room. What is known of peers is old, so
+// the own backend server comes first among equals.
 func (a *Agent) placeWaiting(ctx context.Context, r arrived, sites []placement.Site) (*execution, answer.Reason) {
-	if len(sites) == 0 {
-		return nil, answer.Unreachable
-	}
-	best := sites[0]
-	for _, s := range sites[1:] {
-		if s.Load.ExpectedWait() < best.Load.ExpectedWait() {
-			best = s
+	reason := answer.Unreachable
+	for _, s := range byExpectedWait(sites) {
+		deadline, _ := ctx.Deadline()
+		left := deadline.Sub(a.config.Clock.Now())
+		if left <= 0 || ctx.Err() != nil {
+			return nil, answer.Late
 		}
+		var x *execution
+		if x, reason = a.try(ctx, r, s, left); x != nil {
+			return x, ""
+		}
+	}
+	return nil, reason
+}
+
+func byExpectedWait(sites []placement.Site) []placement.Site {
+	sorted := slices.Clone(sites)
+	slices.SortStableFunc(sorted, func(a, b placement.Site) int {
+		return cmp.Or(cmp.Compare(a.Load.ExpectedWait(), b.Load.ExpectedWait()), localFirst(a, b))
+	})
+	return sorted
+}
+
+func localFirst(a, b placement.Site) int {
+	switch {
+	case a.Local == b.Local:
+		return 0
+	case a.Local:
+		return -1
+	default:
+		return 1
 	}
-	deadline, _ := ctx.Deadline()
-	return a.try(ctx, r, best, deadline.Sub(a.config.Clock.Now()))
 }
 
 // try asks one site for a slot.
