Tell loads along with hand-overs, and ask more peers for a free slot

Cause: at 80 % a free slot usually exists somewhere, but only three sites were asked, in an order that was up to a second old. Now every offer and answer carries the load of its sender, and up to eight sites are asked.

--- a/agent.go
+++ b/agent.go
@@ -64,7 +64,13 @@
 	if err := a.newAgent(); err != nil {
 		return nil, err
 	}
-	handovers := &handover.Server{Acquire: a.agent.Acquire, Lease: handover.ServerLease, VM: s.Name}
+	handovers := &handover.Server{
+		Acquire: a.agent.Acquire,
+		Report:  a.agent.Report,
+		Heard:   a.peers.Heard,
+		Lease:   handover.ServerLease,
+		VM:      s.Name,
+	}
 	a.node.Port.Handle(peerport.Handover, handovers.Serve)
 	metrics.RegisterRelay(a.node.Registry, a.agent.RelayCounts(), a.agent.Flows)
 	return a, nil
@@ -119,6 +125,7 @@
 		}),
 		Policy:       policy,
 		PeerLoads:    a.peers.List,
+		PeerHeard:    a.peers.Heard,
 		StateChanged: a.peers.Announce,
 		Clock:        a.clock,
 		Metrics:      metrics.NewAgent(a.node.Registry),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,6 +89,8 @@
 	Policy *placement.Policy
 	// PeerLoads returns the latest loads of peers.
 	PeerLoads func() []load.Report
+	// PeerHeard takes the load that a peer told along with an answer.
+	PeerHeard func(load.Report)
 	// StateChanged is called when the agent's own state changed.
 	StateChanged func()
 	// Clock measures time.
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -17,7 +17,7 @@
 // Bounds of the search for a site.
 const (
 	// maxSitesTried is how many sites are asked for a free slot.
-	maxSitesTried = 3
+	maxSitesTried = 8
 	// defaultQueueWait bounds the wait of requests without a deadline.
 	defaultQueueWait = 10 * time.Second
 )
@@ -159,21 +159,23 @@
 		Preface: a.remaining(r),
 		Caller:  r.flow.caller,
 		Address: a.serviceAddress(),
+		Load:    a.Report(),
 		WaitMs:  uint32(max(wait, 0).Milliseconds()),
 	}
 	reservation, reply, err := a.handovers.Reserve(ctx, s.Load.Agent, o)
 	if err != nil {
 		return nil, answer.Unreachable
 	}
+	a.config.PeerHeard(reply.Load)
 	if reservation == nil {
-		return nil, reply.Reason
+		return nil, reply.Answer.Reason
 	}
 	up, err := reservation.Commit()
 	if err != nil {
 		return nil, answer.Unreachable
 	}
 	a.config.Metrics.HandedOver(a.config.Service, r.preface.Kind, a.config.Clock.Since(start))
-	return &execution{upstream: up, vm: reply.VM, release: func() {}}, ""
+	return &execution{upstream: up, vm: reply.Answer.VM, release: func() {}}, ""
 }
 
 // connect opens a connection to the own backend server and notes the outcome.
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -13,7 +13,6 @@
 	"github.com/bergamotgw/bergamotgw/internal/chunked"
 	"github.com/bergamotgw/bergamotgw/internal/frame"
 	"github.com/bergamotgw/bergamotgw/internal/peerport"
-	"github.com/bergamotgw/bergamotgw/pkg/answer"
 )
 
 // ErrExpired is returned by a commit that comes too late. The request was not run.
@@ -39,34 +38,34 @@
 
 // Reserve asks the peer for a slot. Every error and every refusal means that
 // the request was not run. The reservation must be committed or withdrawn.
-func (x Client) Reserve(ctx context.Context, peer netip.AddrPort, o Offer) (*Reservation, answer.Preface, error) {
+func (x Client) Reserve(ctx context.Context, peer netip.AddrPort, o Offer) (*Reservation, Reply, error) {
 	d := net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: x.Local.AsSlice()}}
 	c, err := d.DialContext(ctx, "tcp4", peer.String())
 	if err != nil {
-		return nil, answer.Preface{}, merry.Prepend(err, "connect to peer")
+		return nil, Reply{}, merry.Prepend(err, "connect to peer")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := ask(c, o)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
-	if err != nil || !a.Granted {
+	if err != nil || !a.Answer.Granted {
 		_ = c.Close()
 		return nil, a, err
 	}
 	return &Reservation{clock: x.Clock, lease: x.Lease, conn: c, granted: x.Clock.Now()}, a, nil
 }
 
-func ask(c net.Conn, o Offer) (answer.Preface, error) {
+func ask(c net.Conn, o Offer) (Reply, error) {
 	wait := time.Duration(o.WaitMs) * time.Millisecond
 	_ = c.SetDeadline(time.Now().Add(wait + answerMargin))
 	if _, err := c.Write([]byte{byte(peerport.Handover)}); err != nil {
-		return answer.Preface{}, merry.Prepend(err, "ask peer")
+		return Reply{}, merry.Prepend(err, "ask peer")
 	}
 	if err := frame.Write(c, o); err != nil {
-		return answer.Preface{}, merry.Prepend(err, "ask peer")
+		return Reply{}, merry.Prepend(err, "ask peer")
 	}
-	a, err := frame.Read[answer.Preface](c)
+	a, err := frame.Read[Reply](c)
 	return a, merry.Prepend(err, "answer of peer")
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/bergamotgw/bergamotgw/internal/load"
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
 	"github.com/bergamotgw/bergamotgw/pkg/request"
 )
 
@@ -42,6 +44,16 @@
 	Caller netip.AddrPort `cbor:"2,keyasint"`
 	// Address is the service address, as text.
 	Address netip.AddrPort `cbor:"3,keyasint"`
+	// Load is the load of the agent that asks.
+	Load load.Report `cbor:"5,keyasint"`
 	// WaitMs is how long the request may wait for a slot, in milliseconds.
 	WaitMs uint32 `cbor:"4,keyasint"`
 }
+
+// Reply answers an offer.
+type Reply struct {
+	// Answer tells whether a slot is reserved.
+	Answer answer.Preface `cbor:"1,keyasint"`
+	// Load is the load of the agent that answers.
+	Load load.Report `cbor:"2,keyasint"`
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/chunked"
 	"github.com/bergamotgw/bergamotgw/internal/lab/cable"
+	"github.com/bergamotgw/bergamotgw/internal/load"
 	"github.com/bergamotgw/bergamotgw/internal/peerport"
 	"github.com/bergamotgw/bergamotgw/pkg/answer"
 	"github.com/bergamotgw/bergamotgw/pkg/request"
@@ -122,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := Server{Lease: testServerLease, VM: "pass-2", Acquire: func(ctx context.Context, o Offer) (Slot, answer.Reason) {
+	s := Server{Lease: testServerLease, VM: "pass-2", Report: func() load.Report { return load.Report{} }, Heard: func(load.Report) {}, Acquire: func(ctx context.Context, o Offer) (Slot, answer.Reason) {
 		return backend().acquire(ctx, o)
 	}}
 	p.Handle(peerport.Handover, func(ctx context.Context, c net.Conn) { s.Serve(ctx, c) })
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/chunked"
 	"github.com/bergamotgw/bergamotgw/internal/frame"
+	"github.com/bergamotgw/bergamotgw/internal/load"
 	"github.com/bergamotgw/bergamotgw/pkg/answer"
 )
 
@@ -18,6 +19,10 @@
 type Server struct {
 	// Acquire takes a slot, or gives the reason for a refusal.
 	Acquire func(ctx context.Context, o Offer) (Slot, answer.Reason)
+	// Report returns the agent's own load.
+	Report func() load.Report
+	// Heard takes the load of the agent that asks.
+	Heard func(load.Report)
 	// Lease is how long a granted reservation waits for its commit.
 	Lease time.Duration
 	// VM is the name of the backend server VM, for answers.
@@ -38,12 +43,13 @@
 	_ = c.SetReadDeadline(time.Now().Add(offerTimeout))
 	o, err := frame.Read[Offer](c)
 	if err != nil || o.Preface.Check() != nil {
-		_ = frame.Write(c, answer.Preface{Reason: answer.BadPreface, VM: s.VM})
+		_ = s.reply(c, answer.Preface{Reason: answer.BadPreface, VM: s.VM})
 		return
 	}
+	s.Heard(o.Load)
 	slot, reason := s.acquire(ctx, o)
 	if reason != "" {
-		_ = frame.Write(c, answer.Preface{Reason: reason, VM: s.VM})
+		_ = s.reply(c, answer.Preface{Reason: reason, VM: s.VM})
 		return
 	}
 	defer slot.Release()
@@ -52,6 +58,10 @@
 	}
 }
 
+func (s *Server) reply(c net.Conn, a answer.Preface) error {
+	return frame.Write(c, Reply{Answer: a, Load: s.Report()})
+}
+
 func (s *Server) acquire(ctx context.Context, o Offer) (Slot, answer.Reason) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.WaitMs)*time.Millisecond)
 	defer cancel()
@@ -62,7 +72,7 @@
 // deadline is monotonic, so a process that wakes up late finds it exceeded.
 func (s *Server) grant(c net.Conn) bool {
 	_ = c.SetReadDeadline(time.Now().Add(s.Lease))
-	if err := frame.Write(c, answer.Preface{Granted: true, VM: s.VM}); err != nil {
+	if err := s.reply(c, answer.Preface{Granted: true, VM: s.VM}); err != nil {
 		return false
 	}
 	var b [1]byte
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,19 +19,19 @@
 // Report is the load of one backend server as its agent sees it.
 type Report struct {
 	// Agent is the address of the agent.
-	Agent netip.AddrPort `json:"a"`
+	Agent netip.AddrPort `json:"a" cbor:"1,keyasint"`
 	// State tells whether the agent takes work.
-	State State `json:"s"`
+	State State `json:"s" cbor:"2,keyasint"`
 	// Slots is how many requests may run at once.
-	Slots int `json:"n"`
+	Slots int `json:"n" cbor:"3,keyasint"`
 	// Used is how many run.
-	Used int `json:"u"`
+	Used int `json:"u" cbor:"4,keyasint"`
 	// Queued is how many wait.
-	Queued int `json:"q"`
+	Queued int `json:"q" cbor:"5,keyasint"`
 	// MeanServiceMicros is the mean service time, in microseconds; 0 if unknown.
-	MeanServiceMicros int64 `json:"t"`
+	MeanServiceMicros int64 `json:"t" cbor:"6,keyasint"`
 	// Utilisation is the mean share of used slots over the last seconds, from 0 to 1.
-	Utilisation float64 `json:"z"`
+	Utilisation float64 `json:"z" cbor:"7,keyasint"`
 }
 
 // MeanService returns the mean service time.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -71,7 +71,7 @@
 		changed: make(chan struct{}),
 	}
 	rpc.Handle(c.Server, methodLoad, func(_ context.Context, _ *rpc.Conn, r load.Report) (struct{}, error) {
-		p.update(r)
+		p.Heard(r)
 		return struct{}{}, nil
 	})
 	return p
@@ -127,7 +127,8 @@
 	return list
 }
 
-func (p *Peers) update(r load.Report) {
+// Heard notes the load of a peer.
+func (p *Peers) Heard(r load.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, ok := p.tasks[r.Agent]; ok {
