Bound the work that a refused request causes

Cause, from a CPU profile of a collapse at 95 % with the machine saturated: 18 % of the time went into reservations that were refused, each on a connection of its own, and 12 % into handshakes, because callers opened another flow after every full refusal. Both grow with overload.

A site that was full is asked again only after a slot has probably come free, a request asks at most two queues, and a caller keeps its flow after full.

--- a/internal/admission/queries.go
+++ b/internal/admission/queries.go
@@ -10,6 +10,8 @@
 type Load struct {
 	// Slots is how many requests may run.
 	Slots int
+	// Queue is how many requests may wait.
+	Queue int
 	// Used is how many run.
 	Used int
 	// Queued is how many wait.
@@ -27,6 +29,7 @@
 	g.integrate()
 	return Load{
 		Slots:       g.slots,
+		Queue:       g.queue,
 		Used:        g.used,
 		Queued:      g.queued(),
 		MeanService: g.meanService,
--- a/internal/agent/peer.go
+++ b/internal/agent/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/chunked"
@@ -37,6 +38,7 @@
 		return nil, reason
 	}
 	id := a.work.addRequest(o.Preface.Kind, x.Abort)
+	x.release = sync.OnceFunc(x.release)
 	return &peerSlot{execution: x, removed: func() { a.work.removeRequest(id) }}, ""
 }
 
@@ -61,7 +63,9 @@
 			p.Abort()
 		}
 	}()
-	if _, err := io.Copy(writerOnly{c}, readerOnly{p.execution}); err == nil && c.CloseWrite() == nil {
+	_, err := io.Copy(writerOnly{c}, readerOnly{p.execution})
+	p.release()
+	if err == nil && c.CloseWrite() == nil {
 		p.awaitHangUp(sent)
 	}
 	c.Abort()
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -18,6 +18,8 @@
 const (
 	// maxSitesTried is how many sites are asked for a free slot.
 	maxSitesTried = 8
+	// maxQueuesTried is how many sites are asked for a place in their queue.
+	maxQueuesTried = 2
 	// defaultQueueWait bounds the wait of requests without a deadline.
 	defaultQueueWait = 10 * time.Second
 )
@@ -78,9 +80,12 @@
 	return a.config.Policy.Order(v)
 }
 
-// placeNow takes the first free slot.
+// placeNow takes the first free slot. It asks no site that was full a moment ago.
 func (a *Agent) placeNow(ctx context.Context, r arrived, sites []placement.Site) (*execution, answer.Reason) {
 	for _, s := range sites[:min(len(sites), maxSitesTried)] {
+		if !s.Load.MayHaveSlot() {
+			continue
+		}
 		x, reason := a.try(ctx, r, s, 0)
 		if x != nil {
 			return x, reason
@@ -94,7 +99,16 @@
 // the own backend server comes first among equals.
 func (a *Agent) placeWaiting(ctx context.Context, r arrived, sites []placement.Site) (*execution, answer.Reason) {
 	reason := answer.Unreachable
+	tries := 0
 	for _, s := range byExpectedWait(sites) {
+		if tries == maxQueuesTried {
+			break
+		}
+		if !s.Load.MayQueue() {
+			reason = answer.Full
+			continue
+		}
+		tries++
 		deadline, _ := ctx.Deadline()
 		left := deadline.Sub(a.config.Clock.Now())
 		if left <= 0 || ctx.Err() != nil {
--- a/internal/agent/queries.go
+++ b/internal/agent/queries.go
@@ -32,6 +32,7 @@
 		Agent:             a.config.Listen,
 		State:             a.State(),
 		Slots:             l.Slots,
+		Queue:             l.Queue,
 		Used:              l.Used,
 		Queued:            l.Queued,
 		MeanServiceMicros: l.MeanService.Microseconds(),
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -32,6 +32,10 @@
 	MeanServiceMicros int64 `json:"t" cbor:"6,keyasint"`
 	// Utilisation is the mean share of used slots over the last seconds, from 0 to 1.
 	Utilisation float64 `json:"z" cbor:"7,keyasint"`
+	// Queue is how many requests may wait.
+	Queue int `json:"l" cbor:"8,keyasint"`
+	// Age is the time since the report arrived; 0 for the own load.
+	Age time.Duration `json:"-" cbor:"-"`
 }
 
 // MeanService returns the mean service time.
@@ -46,3 +50,28 @@
 	}
 	return r.MeanService() * time.Duration(r.Queued+1) / time.Duration(max(r.Slots, 1))
 }
+
+// Bounds of the time after which a full server is worth asking again.
+const (
+	minAskAgain = 5 * time.Millisecond
+	maxAskAgain = 250 * time.Millisecond
+)
+
+// MayHaveSlot reports whether a slot may be free: one was at the time of the
+// report, or the report is old. This bounds how often a full server is asked,
+// whatever the load.
+func (r Report) MayHaveSlot() bool {
+	return r.Used < r.Slots && r.Queued == 0 || r.old()
+}
+
+// MayQueue reports whether one more request may wait: there was room at the
+// time of the report, or the report is old.
+func (r Report) MayQueue() bool {
+	return r.Queued < r.Queue || r.old()
+}
+
+// old reports whether a slot has probably come free since the report.
+func (r Report) old() bool {
+	between := r.MeanService() / time.Duration(max(r.Slots, 1))
+	return r.Age > min(max(between, minAskAgain), maxAskAgain)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -119,7 +119,8 @@
 	defer p.mu.Unlock()
 	var list []load.Report
 	for _, h := range p.heard {
-		if now.Sub(h.at) < expiry {
+		h.report.Age = now.Sub(h.at)
+		if h.report.Age < expiry {
 			list = append(list, h.report)
 		}
 	}
--- a/pkg/caller/session.go
+++ b/pkg/caller/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/bergamotgw/bergamotgw/pkg/answer"
 	"github.com/bergamotgw/bergamotgw/pkg/request"
 )
 
@@ -56,6 +57,9 @@
 	if err != nil {
 		cancelStream(s)
 		f.streams.Add(-1)
+		if p.Kind == request.Session && err.Reason == answer.Full {
+			c.forget(f)
+		}
 		return nil, err.unsent(true)
 	}
 	return &Session{Stream: s, flow: f, vm: a.VM, done: sync.OnceFunc(func() { f.streams.Add(-1) })}, nil
--- a/pkg/caller/try.go
+++ b/pkg/caller/try.go
@@ -101,12 +101,18 @@
 	if p.Granted {
 		return p, nil
 	}
-	if p.Reason == answer.Draining || p.Reason == answer.Unreachable || p.Reason == answer.Full {
+	if leaves(p.Reason) {
 		c.forget(f)
 	}
 	return p, &Error{Verdict: verdict.NotRun, Reason: p.Reason, Err: merry.Errorf("refused by %s", p.VM)}
 }
 
+// leaves reports whether another flow may fare better. It would not after Full:
+// the agent has asked its peers, and new flows would burden them further.
+func leaves(r answer.Reason) bool {
+	return r == answer.Draining || r == answer.Unreachable
+}
+
 // failure returns the error of a stream that ended early.
 func failure(ctx context.Context, err error) *Error {
 	var reset *quic.StreamError
