Move the share of requests that a slow server's flows demand too much

Cause: the excess over the mean utilisation decided how many requests leave, so a slow server stayed above the mean by as much as its control needed; and equal utilisation put the local server first even when a request was to leave. Now the share that leaves follows from the demand of the agent's own flows: rate times mean service time over slots. Ruled out: a longer window, since the error is steady.

--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -38,6 +38,7 @@
 	if !r.preface.Kind.TakesSlot() {
 		return a.placeSession(ctx, r)
 	}
+	a.usage.arrived()
 	deadline := r.deadline
 	if deadline.IsZero() {
 		deadline = r.at.Add(defaultQueueWait)
@@ -73,7 +74,7 @@
 
 // sites returns the sites for a request in order of preference.
 func (a *Agent) sites(kind request.Kind) []placement.Site {
-	v := placement.View{Kind: kind, Sites: []placement.Site{{Load: a.Report(), Local: true}}}
+	v := placement.View{Kind: kind, Sites: []placement.Site{{Load: a.Report(), Local: true, Demand: a.usage.demand()}}}
 	for _, l := range a.config.PeerLoads() {
 		v.Sites = append(v.Sites, placement.Site{Load: l})
 	}
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -59,6 +59,8 @@
 	// Missing and Twice count records that were skipped or came again.
 	Missing uint64 `json:"missing"`
 	Twice   uint64 `json:"twice"`
+	// Stall is over sessions, of the longest time without a record in each.
+	Stall Percentiles `json:"stall"`
 }
 
 // Outcome is the verdict on one request.
@@ -90,9 +92,10 @@
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", k.Service, k.Kind, k.Sent, k.Ran, k.NotRun,
 			k.MayHaveRun, k.Mismatched, k.Retries, k.Latency.P50, k.Latency.P99, k.Latency.Max)
 	}
-	_, _ = fmt.Fprintln(t, "\nservice\tsessions opened\tmoved\tbroken\trefused\trecords missing\ttwice\t")
+	_, _ = fmt.Fprintln(t, "\nservice\tsessions opened\tmoved\tbroken\trefused\trecords missing\ttwice\tstall p50 ms\tp99 ms\tmax ms\t")
 	for _, s := range r.Sessions {
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", s.Service, s.Opened, s.Moved, s.Broken, s.Refused, s.Missing, s.Twice)
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t\n", s.Service, s.Opened, s.Moved, s.Broken, s.Refused,
+			s.Missing, s.Twice, s.Stall.P50, s.Stall.P99, s.Stall.Max)
 	}
 	return t.Flush()
 }
--- a/internal/lab/load/session.go
+++ b/internal/lab/load/session.go
@@ -67,11 +67,14 @@
 	stop := context.AfterFunc(ctx, x.Release)
 	defer stop()
 	var b [wire.RecordLen]byte
+	last := time.Now()
 	for {
 		_ = x.SetReadDeadline(time.Now().Add(sessionTimeout))
 		if _, err := io.ReadFull(x, b[:]); err != nil {
 			return nil, true
 		}
+		s.tally.gap(s.target.Service, s.key, time.Since(last))
+		last = time.Now()
 		s.check(binary.BigEndian.Uint64(b[:]))
 		if !isClosed(x.Moved()) {
 			continue
--- a/internal/lab/load/tally.go
+++ b/internal/lab/load/tally.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/pkg/caller"
 	"github.com/bergamotgw/bergamotgw/pkg/verdict"
 )
@@ -16,6 +18,8 @@
 	mu       sync.Mutex
 	kinds    map[kindKey]*kindTally
 	sessions map[string]*Sessions
+	// stalls holds the longest gap of each session, by service and key.
+	stalls   map[string]map[string]time.Duration
 	outcomes []Outcome
 }
 
@@ -30,7 +34,7 @@
 }
 
 func newTally() *tally {
-	return &tally{kinds: make(map[kindKey]*kindTally), sessions: make(map[string]*Sessions)}
+	return &tally{kinds: make(map[kindKey]*kindTally), sessions: make(map[string]*Sessions), stalls: make(map[string]map[string]time.Duration)}
 }
 
 // ended notes the outcome of a request.
@@ -117,6 +121,16 @@
 	})
 }
 
+// gap notes a time without records of a session.
+func (t *tally) gap(service, key string, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stalls[service] == nil {
+		t.stalls[service] = make(map[string]time.Duration)
+	}
+	t.stalls[service][key] = max(t.stalls[service][key], gap)
+}
+
 // result returns a copy of what was collected.
 func (t *tally) result() Result {
 	t.mu.Lock()
@@ -128,7 +142,9 @@
 		r.Kinds = append(r.Kinds, x)
 	}
 	for _, s := range t.sessions {
-		r.Sessions = append(r.Sessions, *s)
+		x := *s
+		x.Stall = percentiles(lo.Values(t.stalls[s.Service]))
+		r.Sessions = append(r.Sessions, x)
 	}
 	r.sort()
 	return r
--- a/internal/placement/balanced/balanced.go
+++ b/internal/placement/balanced/balanced.go
@@ -39,21 +39,31 @@
 		return cmp.Compare(a.Load.Utilisation, b.Load.Utilisation)
 	})
 	local, ok := lo.Find(sites, func(s placement.Site) bool { return s.Local })
-	if !ok || r.moves(local, sites) {
+	if !ok {
 		return sites
 	}
-	return append([]placement.Site{local}, placement.WithoutLocal(sites)...)
+	peers := placement.WithoutLocal(sites)
+	if r.moves(local, sites) {
+		return append(peers, local)
+	}
+	return append([]placement.Site{local}, peers...)
 }
 
-// moves decides whether a request leaves a server that is used above the mean.
-// The chance grows with the excess, so that the flow of requests settles.
+// moves decides whether a request leaves. The share that leaves is the part of
+// the demand above the mean, so that what stays uses the server as much as its
+// peers are; if the server is used above the mean nevertheless, the excess
+// leaves as well.
 func (r rule) moves(local placement.Site, sites []placement.Site) bool {
-	mean := meanUtilisation(sites)
-	excess := local.Load.Utilisation - mean - tolerance
-	if excess <= 0 {
-		return false
+	target := meanUtilisation(sites) + tolerance
+	return r.random() < max(above(target, local.Demand), above(target, local.Load.Utilisation))
+}
+
+// above returns the share of the value above the target.
+func above(target, value float64) float64 {
+	if value <= target {
+		return 0
 	}
-	return r.random() < excess/local.Load.Utilisation
+	return 1 - target/value
 }
 
 func meanUtilisation(sites []placement.Site) float64 {
--- a/internal/placement/balanced/balanced_test.go
+++ b/internal/placement/balanced/balanced_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestOrder prints the order of sites. Each line of input is a site: its
-// number, and any of local, utilisation=x, slots=n, state=up|draining|down.
+// number, and any of local, utilisation=x, demand=x, slots=n, state=up|draining|down.
 // random=x is the number drawn.
 func TestOrder(t *testing.T) {
 	datadriven.RunTest(t, "testdata/order.txt", func(t *testing.T, d *datadriven.TestData) string {
@@ -45,6 +45,8 @@
 			s.Local = true
 		case "utilisation":
 			_, err = fmt.Sscan(value, &s.Load.Utilisation)
+		case "demand":
+			_, err = fmt.Sscan(value, &s.Demand)
 		case "slots":
 			_, err = fmt.Sscan(value, &s.Load.Slots)
 		case "state":
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,6 +16,9 @@
 	Load load.Report
 	// Local is true for the backend server beside the deciding agent.
 	Local bool
+	// Demand is the utilisation that the local server would have if it ran every
+	// request of the agent's own flows; it may exceed 1. It is 0 for peers.
+	Demand float64
 }
 
 // View is what a decision is based on.
