Add capacity measurements and process measurements

bergamotlab capacity fits cost against size and draws the plots; scripts in test/integration/measure log memory and processor time of real processes.

--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -27,6 +27,7 @@
 	Fabric     fabricCommand     `cmd:"" help:"Run a stand-in for the network fabric."`
 	Backend    backendCommand    `cmd:"" help:"Run a stand-in for a backend server."`
 	Experiment experimentCommand `cmd:"" help:"Measure placement under load and faults."`
+	Capacity   capacityCommand   `cmd:"" help:"Measure how cost grows with size, and draw plots."`
 }
 
 // Main runs the program and returns its exit code.
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -38,6 +38,8 @@
 		"in-force":        s.inForce,
 		"same":            s.same,
 		"watch-revisions": s.watchRevisions,
+		"usage":           s.usage,
+		"stats":           s.stats,
 	}
 	h, ok := handlers[d.Cmd]
 	if !ok {
@@ -73,7 +75,7 @@
 }
 
 // load starts load in the background on all services: seconds=N rate=N
-// callers=N sessions=N once=share work=ms deadline=ms seed=N.
+// callers=N sessions=N session-interval=ms once=share work=ms deadline=ms seed=N.
 func (s *system) load(d *datadriven.TestData) string {
 	seconds, rate, callers, sessions, once, work, deadline, seed := 5.0, 50.0, 10, 0, 0.5, 5.0, 5000.0, uint64(1)
 	d.MaybeScanArgs(s.t, "seconds", &seconds)
@@ -84,6 +86,8 @@
 	d.MaybeScanArgs(s.t, "work", &work)
 	d.MaybeScanArgs(s.t, "deadline", &deadline)
 	d.MaybeScanArgs(s.t, "seed", &seed)
+	interval := 20.0
+	d.MaybeScanArgs(s.t, "session-interval", &interval)
 	tls, err := s.plan.CallerTLS()
 	if err != nil {
 		s.t.Fatal(err)
@@ -93,7 +97,7 @@
 		targets = append(targets, load.Target{
 			Service: x.Name, Address: s.plan.Address(x.Name), Callers: callers, Rate: rate, Once: once,
 			MeanWork: milliseconds(work), Deadline: milliseconds(deadline), Body: 500, Answer: 4000,
-			Sessions: sessions, SessionInterval: 20 * time.Millisecond,
+			Sessions: sessions, SessionInterval: milliseconds(interval),
 		})
 	}
 	s.t.Logf("load with seed %d", seed)
