Keep parsed entries, and select readers only after a change

Cause: each change re-parsed every section and VM, and each process selected its readers from the whole VM list every second.

retryPercent and slowStartSeconds leave the document: nothing followed them.

--- a/agent.go
+++ b/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"github.com/bergamotgw/bergamotgw/internal/backend"
 	"github.com/bergamotgw/bergamotgw/internal/certificate"
 	"github.com/bergamotgw/bergamotgw/internal/connid"
-	"github.com/bergamotgw/bergamotgw/internal/entry"
 	"github.com/bergamotgw/bergamotgw/internal/handover"
 	"github.com/bergamotgw/bergamotgw/internal/health"
 	"github.com/bergamotgw/bergamotgw/internal/ledger"
@@ -172,18 +170,12 @@
 
 // apply follows the section of the service and the state of the VM.
 func (a *Agent) apply(ctx context.Context, l *ledger.Ledger) {
-	if e, ok := l.Get(entry.SectionPrefix + a.settings.Service); ok {
-		var s section.Section
-		if json.Unmarshal(e.Raw, &s) == nil {
-			a.agent.SetSection(s)
-			a.peers.SetPeers(ctx, lo.Map(s.Endpoints, func(e section.Endpoint, _ int) netip.AddrPort { return e.Agent }))
-		}
+	if s, ok := l.Section(a.settings.Service); ok {
+		a.agent.SetSection(s)
+		a.peers.SetPeers(ctx, lo.Map(s.Endpoints, func(e section.Endpoint, _ int) netip.AddrPort { return e.Agent }))
 	}
-	if e, ok := l.Get(entry.VMPrefix + a.settings.Name); ok {
-		var v vm.VM
-		if json.Unmarshal(e.Raw, &v) == nil && v.State == vm.Leaving {
-			a.agent.Drain()
-		}
+	if v, ok := l.VM(a.settings.Name); ok && v.State == vm.Leaving {
+		a.agent.Drain()
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,18 +64,26 @@
 	return strings.CutPrefix(e.Key, SectionPrefix)
 }
 
-// Check parses the text and compares it with the key. The outcome depends on
-// the entry alone.
-func (e Entry) Check() []fault.Fault {
+// Value is the parsed text of an entry. At most one field is set.
+type Value struct {
+	// Section is set for sections.
+	Section *section.Section
+	// VM is set for VMs.
+	VM *vm.VM
+}
+
+// Parse parses the text and compares it with the key. The outcome depends on
+// the entry alone; the value is valid only without faults.
+func (e Entry) Parse() (Value, []fault.Fault) {
 	if name, ok := e.Section(); ok {
 		s, faults := section.Parse(e.Raw)
-		return append(faults, e.compare(name, "service", s.Service, s.Revision, faults)...)
+		return Value{Section: &s}, append(faults, e.compare(name, "service", s.Service, s.Revision, faults)...)
 	}
 	if name, ok := strings.CutPrefix(e.Key, VMPrefix); ok {
 		v, faults := vm.Parse(e.Raw)
-		return append(faults, e.compare(name, "vm", v.Name, v.Revision, faults)...)
+		return Value{VM: &v}, append(faults, e.compare(name, "vm", v.Name, v.Revision, faults)...)
 	}
-	return []fault.Fault{{Field: "(key)", Reason: "the key " + e.Key + " has no known prefix"}}
+	return Value{}, []fault.Fault{{Field: "(key)", Reason: "the key " + e.Key + " has no known prefix"}}
 }
 
 func (e Entry) compare(name, field, stated string, revision uint64, earlier []fault.Fault) []fault.Fault {
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -8,7 +8,7 @@
 	if l.known(ref) {
 		return Stale
 	}
-	faults := e.Check()
+	value, faults := e.Parse()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countOddities(ref)
@@ -19,7 +19,10 @@
 	if len(faults) > 0 {
 		return l.refuse(Refusal{Entry: e, Faults: faults, Since: l.clock.Now()}, ref)
 	}
-	l.accept(e, ref, old.ref, ok)
+	if ok {
+		l.toggle(old.ref)
+	}
+	l.accept(accepted{entry: e, value: value, ref: ref, since: l.clock.Now()})
 	return Accepted
 }
 
@@ -62,16 +65,15 @@
 	return Refused
 }
 
-func (l *Ledger) accept(e entry.Entry, ref, old entry.Ref, replaces bool) {
-	if replaces {
-		l.toggle(old)
-	}
-	l.toggle(ref)
+func (l *Ledger) accept(a accepted) {
+	key := a.entry.Key
+	l.toggle(a.ref)
 	l.index++
-	l.accepted[e.Key] = accepted{entry: e, ref: ref, since: l.clock.Now(), index: l.index}
-	if r, ok := l.refused[e.Key]; ok && !r.ref.Supersedes(ref) {
+	a.index = l.index
+	l.accepted[key] = a
+	if r, ok := l.refused[key]; ok && !r.ref.Supersedes(a.ref) {
 		l.toggle(r.ref)
-		delete(l.refused, e.Key)
+		delete(l.refused, key)
 	}
 	l.notify()
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -49,6 +49,7 @@
 
 type accepted struct {
 	entry entry.Entry
+	value entry.Value
 	ref   entry.Ref
 	since time.Time
 	// index is the ledger's index after acceptance.
--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -8,6 +8,8 @@
 	"github.com/dchest/siphash"
 
 	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/section"
+	"github.com/bergamotgw/bergamotgw/internal/vm"
 )
 
 // Buckets is the count of groups into which keys are hashed for comparison.
@@ -22,6 +24,8 @@
 type InForce struct {
 	// Entry is the accepted entry.
 	Entry entry.Entry
+	// Value is the parsed text; it must not be changed.
+	Value entry.Value
 	// Since is the local time of acceptance.
 	Since time.Time
 }
@@ -57,6 +61,28 @@
 	return list
 }
 
+// Section returns the section in force under the name.
+func (l *Ledger) Section(name string) (section.Section, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	a, ok := l.accepted[entry.SectionPrefix+name]
+	if !ok {
+		return section.Section{}, false
+	}
+	return *a.value.Section, true
+}
+
+// VM returns the VM in force under the name.
+func (l *Ledger) VM(name string) (vm.VM, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	a, ok := l.accepted[entry.VMPrefix+name]
+	if !ok {
+		return vm.VM{}, false
+	}
+	return *a.value.VM, true
+}
+
 // Wants reports whether an entry with this identity would be new here.
 func (l *Ledger) Wants(ref entry.Ref) bool {
 	l.mu.RLock()
@@ -75,7 +101,7 @@
 	var list []InForce
 	for key, a := range l.accepted {
 		if strings.HasPrefix(key, prefix) {
-			list = append(list, InForce{Entry: a.entry, Since: a.since})
+			list = append(list, InForce{Entry: a.entry, Value: a.value, Since: a.since})
 		}
 	}
 	slices.SortFunc(list, func(a, b InForce) int { return strings.Compare(a.Entry.Key, b.Entry.Key) })
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bergamotgw/bergamotgw/internal/ledger"
 	"github.com/bergamotgw/bergamotgw/internal/platform"
 	"github.com/bergamotgw/bergamotgw/internal/readers"
 )
@@ -25,13 +26,14 @@
 func (n *Node) readPlatform(ctx context.Context) {
 	n.awaitPeers(ctx)
 	connected := n.config.Clock.Now()
+	chosen := newSelection(n.Ledger, n.config.Common.Name)
 	var stop context.CancelFunc
 	for ctx.Err() == nil {
 		if n.Members.Connected() > 0 {
 			connected = n.config.Clock.Now()
 		}
 		isolated := n.config.Clock.Since(connected) >= isolatedAfter
-		should := isolated || readers.NewFleet(n.Ledger).IsReader(n.config.Common.Name)
+		should := isolated || chosen.isReader()
 		if should && stop == nil {
 			stop = n.startReading(ctx)
 		}
@@ -47,6 +49,27 @@
 	}
 }
 
+// selection remembers whether this process is a reader until the configuration
+// changes, since reading the whole VM list takes time.
+type selection struct {
+	ledger *ledger.Ledger
+	name   string
+	index  uint64
+	reader bool
+}
+
+func newSelection(l *ledger.Ledger, name string) *selection {
+	return &selection{ledger: l, name: name, index: l.Index(), reader: readers.NewFleet(l).IsReader(name)}
+}
+
+func (s *selection) isReader() bool {
+	if index := s.ledger.Index(); index != s.index {
+		s.index = index
+		s.reader = readers.NewFleet(s.ledger).IsReader(s.name)
+	}
+	return s.reader
+}
+
 // awaitPeers lets a new process take the highest revisions from its peers first.
 func (n *Node) awaitPeers(ctx context.Context) {
 	if len(n.config.Common.Seeds) == 0 {
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 
@@ -10,7 +9,6 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/entry"
 	"github.com/bergamotgw/bergamotgw/internal/ledger"
-	"github.com/bergamotgw/bergamotgw/internal/section"
 	"github.com/bergamotgw/bergamotgw/internal/status"
 	"github.com/bergamotgw/bergamotgw/internal/vm"
 )
@@ -38,10 +36,7 @@
 	var overlaps []status.Overlap
 	owners := make(map[netip.AddrPort]string)
 	for _, in := range n.Ledger.List(entry.SectionPrefix) {
-		var s section.Section
-		if json.Unmarshal(in.Entry.Raw, &s) != nil {
-			continue
-		}
+		s := in.Value.Section
 		sections = append(sections, status.Section{
 			Service:   s.Service,
 			Owner:     s.Owner,
@@ -74,9 +69,7 @@
 	m.Reader = n.reading
 	n.mu.Unlock()
 	for _, in := range n.Ledger.List(entry.VMPrefix) {
-		var v vm.VM
-		_ = json.Unmarshal(in.Entry.Raw, &v)
-		switch v.State {
+		switch in.Value.VM.State {
 		case vm.Live:
 			m.Live++
 		case vm.Leaving:
--- a/internal/readers/readers.go
+++ b/internal/readers/readers.go
@@ -3,7 +3,6 @@
 package readers
 
 import (
-	"encoding/json"
 	"slices"
 
 	"github.com/samber/lo"
@@ -29,8 +28,7 @@
 func NewFleet(l *ledger.Ledger) Fleet {
 	f := Fleet{ranker: rendezvous.NewRanker(nil)}
 	for _, in := range l.List(entry.VMPrefix) {
-		var v vm.VM
-		if json.Unmarshal(in.Entry.Raw, &v) == nil && v.State != vm.Gone {
+		if v := *in.Value.VM; v.State != vm.Gone {
 			f.VMs = append(f.VMs, v)
 		}
 	}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -2,7 +2,6 @@
 package routes
 
 import (
-	"encoding/json"
 	"net/netip"
 
 	"github.com/bergamotgw/bergamotgw/internal/entry"
@@ -33,10 +32,7 @@
 func NewTable(l *ledger.Ledger, ranker rendezvous.Ranker) *Table {
 	t := &Table{byAddress: make(map[netip.AddrPort]*route), ranker: ranker}
 	for _, in := range l.List(entry.SectionPrefix) {
-		s, faults := section.Parse(in.Entry.Raw)
-		if len(faults) == 0 {
-			t.add(s, l)
-		}
+		t.add(*in.Value.Section, l)
 	}
 	return t
 }
@@ -62,15 +58,8 @@
 // available reports whether new flows may go to the VM. Unknown VMs may be so
 // new that the list lacks them.
 func available(l *ledger.Ledger, name string) bool {
-	e, ok := l.Get(entry.VMPrefix + name)
-	if !ok {
-		return true
-	}
-	var v vm.VM
-	if json.Unmarshal(e.Raw, &v) != nil {
-		return true
-	}
-	return v.State == vm.Live
+	v, ok := l.VM(name)
+	return !ok || v.State == vm.Live
 }
 
 // Candidates writes the agents for a new flow into list, best first, and
--- a/internal/section/check.go
+++ b/internal/section/check.go
@@ -106,9 +106,7 @@
 
 func (c *checker) limits(l Limits) {
 	c.require(l.QueuePerSlot >= 0 && l.QueuePerSlot <= maxSlots, "limits.queuePerSlot", "%d, want 0 to %d", l.QueuePerSlot, maxSlots)
-	c.require(l.RetryPercent >= 0 && l.RetryPercent <= 100, "limits.retryPercent", "%d, want 0 to 100", l.RetryPercent)
 	c.require(l.GraceSeconds >= 0 && l.GraceSeconds <= maxSeconds, "limits.graceSeconds", "%d, want 0 to %d", l.GraceSeconds, maxSeconds)
-	c.require(l.SlowStartSeconds >= 0 && l.SlowStartSeconds <= maxSeconds, "limits.slowStartSeconds", "%d, want 0 to %d", l.SlowStartSeconds, maxSeconds)
 }
 
 func usable(a netip.AddrPort) bool {
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -48,21 +48,14 @@
 type Limits struct {
 	// QueuePerSlot is how many requests may wait for each slot; 0 selects the default.
 	QueuePerSlot int `json:"queuePerSlot,omitempty"`
-	// RetryPercent is how many retries callers and agents may add, in percent of
-	// first tries; 0 selects the default.
-	RetryPercent int `json:"retryPercent,omitempty"`
 	// GraceSeconds is how long a leaving agent waits for open work; 0 selects the default.
 	GraceSeconds int `json:"graceSeconds,omitempty"`
-	// SlowStartSeconds is how long a new endpoint takes to reach its full share; 0 selects the default.
-	SlowStartSeconds int `json:"slowStartSeconds,omitempty"`
 }
 
 // Defaults of the limits.
 const (
-	DefaultQueuePerSlot     = 8
-	DefaultRetryPercent     = 10
-	DefaultGraceSeconds     = 4 * 3600
-	DefaultSlowStartSeconds = 10
+	DefaultQueuePerSlot = 8
+	DefaultGraceSeconds = 4 * 3600
 )
 
 // ID returns the numeric identity of a service name; never 0.
@@ -97,21 +90,11 @@
 	return orDefault(l.QueuePerSlot, DefaultQueuePerSlot)
 }
 
-// RetryRatio returns how many retries each first try allows.
-func (l Limits) RetryRatio() float64 {
-	return float64(orDefault(l.RetryPercent, DefaultRetryPercent)) / 100
-}
-
 // Grace returns how long a leaving agent waits for open work.
 func (l Limits) Grace() time.Duration {
 	return time.Duration(orDefault(l.GraceSeconds, DefaultGraceSeconds)) * time.Second
 }
 
-// SlowStart returns how long a new endpoint takes to reach its full share.
-func (l Limits) SlowStart() time.Duration {
-	return time.Duration(orDefault(l.SlowStartSeconds, DefaultSlowStartSeconds)) * time.Second
-}
-
 func orDefault(value, fallback int) int {
 	if value == 0 {
 		return fallback
