--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/ledger"
 	"github.com/bergamotgw/bergamotgw/internal/readers"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
+	"github.com/bergamotgw/bergamotgw/internal/tasks"
 	"github.com/bergamotgw/bergamotgw/internal/vm"
 )
 
@@ -34,15 +35,14 @@
 type Members struct {
 	config Config
 
+	tasks *tasks.Set[netip.AddrPort]
+
 	mu sync.Mutex
-	// tasks holds the cancel function of the task of each neighbour, by address.
-	tasks map[netip.AddrPort]context.CancelFunc
 	// connected holds the neighbours that answered last.
 	connected map[netip.AddrPort]bool
 	// synced is closed after the first complete comparison with a neighbour.
 	synced     chan struct{}
 	syncedOnce sync.Once
-	running    sync.WaitGroup
 }
 
 // Config are the parameters of the exchange.
@@ -67,7 +67,7 @@
 func NewMembers(c Config) *Members {
 	m := &Members{
 		config:    c,
-		tasks:     make(map[netip.AddrPort]context.CancelFunc),
+		tasks:     tasks.NewSet[netip.AddrPort](),
 		connected: make(map[netip.AddrPort]bool),
 		synced:    make(chan struct{}),
 	}
@@ -78,10 +78,10 @@
 // Run keeps one task for each neighbour until the context ends. Neighbours
 // follow the VM list.
 func (m *Members) Run(ctx context.Context) {
-	defer m.running.Wait()
+	defer m.tasks.Wait()
 	for {
 		changed := m.config.Ledger.Changed()
-		m.retarget(ctx)
+		m.tasks.Retarget(ctx, m.neighbours(), m.follow)
 		select {
 		case <-ctx.Done():
 			return
@@ -105,27 +105,6 @@
 	return len(m.connected)
 }
 
-// retarget starts and stops tasks so that they match the VM list.
-func (m *Members) retarget(ctx context.Context) {
-	wanted := m.neighbours()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address, cancel := range m.tasks {
-		if !lo.Contains(wanted, address) {
-			cancel()
-			delete(m.tasks, address)
-		}
-	}
-	for _, address := range wanted {
-		if _, ok := m.tasks[address]; ok {
-			continue
-		}
-		task, cancel := context.WithCancel(ctx)
-		m.tasks[address] = cancel
-		m.running.Go(func() { m.follow(task, address) })
-	}
-}
-
 func (m *Members) neighbours() []netip.AddrPort {
 	fleet := readers.NewFleet(m.config.Ledger)
 	list := lo.Map(fleet.Neighbours(m.config.Name, NeighbourCount), func(v vm.VM, _ int) netip.AddrPort { return v.Address })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/load"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
+	"github.com/bergamotgw/bergamotgw/internal/tasks"
 )
 
 // Pace of the heartbeats.
@@ -32,15 +33,13 @@
 // Peers keeps the latest load of every peer. It is safe for concurrent use.
 type Peers struct {
 	config Config
+	tasks  *tasks.Set[netip.AddrPort]
 
 	mu sync.Mutex
-	// tasks holds the cancel function of the task of each peer.
-	tasks map[netip.AddrPort]context.CancelFunc
 	// heard holds the latest report of each agent.
 	heard map[netip.AddrPort]heard
 	// changed is closed and replaced when the own state changes.
 	changed chan struct{}
-	running sync.WaitGroup
 }
 
 type heard struct {
@@ -66,7 +65,7 @@
 func NewPeers(c Config) *Peers {
 	p := &Peers{
 		config:  c,
-		tasks:   make(map[netip.AddrPort]context.CancelFunc),
+		tasks:   tasks.NewSet[netip.AddrPort](),
 		heard:   make(map[netip.AddrPort]heard),
 		changed: make(chan struct{}),
 	}
@@ -80,28 +79,15 @@
 // SetPeers starts and stops tasks so that they match the agents of the service.
 func (p *Peers) SetPeers(ctx context.Context, agents []netip.AddrPort) {
 	agents = lo.Without(agents, p.config.Self)
+	p.tasks.Retarget(ctx, agents, p.follow)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, cancel := range p.tasks {
-		if !lo.Contains(agents, address) {
-			cancel()
-			delete(p.tasks, address)
-			delete(p.heard, address)
-		}
-	}
-	for _, address := range agents {
-		if _, ok := p.tasks[address]; ok {
-			continue
-		}
-		task, cancel := context.WithCancel(ctx)
-		p.tasks[address] = cancel
-		p.running.Go(func() { p.follow(task, address) })
-	}
+	p.heard = lo.PickByKeys(p.heard, agents)
 }
 
 // Wait waits for the tasks of all peers to end after their context did.
 func (p *Peers) Wait() {
-	p.running.Wait()
+	p.tasks.Wait()
 }
 
 // Announce sends the own load to every peer at once.
@@ -130,11 +116,12 @@
 
 // Heard notes the load of a peer.
 func (p *Peers) Heard(r load.Report) {
+	if !p.tasks.Has(r.Agent) {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.tasks[r.Agent]; ok {
-		p.heard[r.Agent] = heard{report: r, at: p.config.Clock.Now()}
-	}
+	p.heard[r.Agent] = heard{report: r, at: p.config.Clock.Now()}
 }
 
 // follow sends heartbeats to one peer until the context ends.
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -39,6 +39,8 @@
 		"same":            s.same,
 		"watch-revisions": s.watchRevisions,
 		"usage":           s.usage,
+		"latency":         s.latency,
+		"control":         s.control,
 		"stats":           s.stats,
 	}
 	h, ok := handlers[d.Cmd]
