Read settings again on SIGHUP; test the on-ramp, the report, key rotation, cancellation, and failures together

Cause: SIGHUP read the key files that the settings named at the start, so a new sealing epoch needed a restart. Now the settings are read again.

--- a/agent.go
+++ b/agent.go
@@ -80,8 +80,8 @@
 		return err
 	}
 	a.codec.Store(codec)
-	a.certificates, err = certificate.NewSource(a.settings.CertificateFile, a.settings.KeyFile)
-	return err
+	a.certificates = &certificate.Source{}
+	return a.certificates.Load(a.settings.CertificateFile, a.settings.KeyFile)
 }
 
 func (a *Agent) newNode() (err error) {
@@ -158,14 +158,18 @@
 	return err
 }
 
-// Reload reads keys and certificates again.
-func (a *Agent) Reload() error {
-	codec, err := a.settings.Codec()
+// Reload takes the connection ID keys and the certificate of new settings; other
+// settings need a restart. After an error the former ones stay in use.
+func (a *Agent) Reload(s settings.Agent) error {
+	codec, err := s.Codec()
 	if err != nil {
 		return err
 	}
+	if err := a.certificates.Load(s.CertificateFile, s.KeyFile); err != nil {
+		return err
+	}
 	a.codec.Store(codec)
-	return a.certificates.Reload()
+	return nil
 }
 
 // apply follows the section of the service and the state of the VM.
--- a/balancer.go
+++ b/balancer.go
@@ -99,9 +99,10 @@
 	return nil
 }
 
-// Reload reads the connection ID keys again.
-func (b *Balancer) Reload() error {
-	codec, err := b.settings.Codec()
+// Reload takes the connection ID keys of new settings; other settings need a
+// restart. After an error the former keys stay in use.
+func (b *Balancer) Reload(s settings.Balancer) error {
+	codec, err := s.Codec()
 	if err != nil {
 		return err
 	}
--- a/bergamotgw.go
+++ b/bergamotgw.go
@@ -19,8 +19,6 @@
 type Process interface {
 	// Run serves until the context ends, and then drains.
 	Run(ctx context.Context) error
-	// Reload reads keys, certificates and the log level again.
-	Reload() error
 }
 
 // Option configures a process.
--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -11,22 +11,16 @@
 	"github.com/bergamotgw/bergamotgw/pkg/caller"
 )
 
-// Source holds the certificate in use. It is safe for concurrent use.
+// Source holds the certificate in use. Its zero value holds none. It is safe for
+// concurrent use.
 type Source struct {
-	certificateFile, keyFile string
-	current                  atomic.Pointer[tls.Certificate]
+	current atomic.Pointer[tls.Certificate]
 }
 
-// NewSource reads the files.
-func NewSource(certificateFile, keyFile string) (*Source, error) {
-	s := &Source{certificateFile: certificateFile, keyFile: keyFile}
-	return s, s.Reload()
-}
-
-// Reload reads the files again. After an error the former certificate stays in
+// Load reads a certificate from files. After an error the former one stays in
 // use. Open flows keep the one they began with.
-func (s *Source) Reload() error {
-	c, err := tls.LoadX509KeyPair(s.certificateFile, s.keyFile)
+func (s *Source) Load(certificateFile, keyFile string) error {
+	c, err := tls.LoadX509KeyPair(certificateFile, keyFile)
 	if err != nil {
 		return merry.Prepend(err, "load certificate")
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,8 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw"
-	"github.com/bergamotgw/bergamotgw/internal/logs"
-	"github.com/bergamotgw/bergamotgw/internal/settings"
 )
 
 // Exit codes of the program.
@@ -67,7 +65,7 @@
 
 // serve runs a process under signals: the first SIGTERM or SIGINT drains, the
 // second stops at once, SIGHUP reloads.
-func serve(p bergamotgw.Process, log zerolog.Logger, readLog func() (settings.Log, error)) error {
+func serve(p bergamotgw.Process, log zerolog.Logger, reload func() error) error {
 	ctx, drain := context.WithCancel(context.Background())
 	defer drain()
 	signals := make(chan os.Signal, 4)
@@ -81,7 +79,7 @@
 			return err
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				reload(p, log, readLog)
+				logReload(log, reload())
 				continue
 			}
 			if ctx.Err() != nil {
@@ -93,12 +91,7 @@
 	}
 }
 
-func reload(p bergamotgw.Process, log zerolog.Logger, readLog func() (settings.Log, error)) {
-	l, err := readLog()
-	if err == nil {
-		logs.SetLevel(l)
-		err = p.Reload()
-	}
+func logReload(log zerolog.Logger, err error) {
 	if err != nil {
 		log.Error().Str("event", "reloadFailed").Err(err).Send()
 		return
--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -16,7 +16,7 @@
 
 // Run runs a balancer until it is told to leave.
 func (c *balancerCommand) Run() error {
-	return run(c.Settings, settings.Balancer.Logging, func(s settings.Balancer, l zerolog.Logger) (bergamotgw.Process, error) {
+	return run(c.Settings, settings.Balancer.Logging, func(s settings.Balancer, l zerolog.Logger) (reloadable[settings.Balancer], error) {
 		return bergamotgw.NewBalancer(s, bergamotgw.WithLogger(l.With().Str("vm", s.Name).Logger()))
 	})
 }
@@ -27,7 +27,7 @@
 
 // Run runs an agent until it is told to leave and has finished.
 func (c *agentCommand) Run() error {
-	return run(c.Settings, settings.Agent.Logging, func(s settings.Agent, l zerolog.Logger) (bergamotgw.Process, error) {
+	return run(c.Settings, settings.Agent.Logging, func(s settings.Agent, l zerolog.Logger) (reloadable[settings.Agent], error) {
 		return bergamotgw.NewAgent(s, bergamotgw.WithLogger(l.With().Str("vm", s.Name).Logger()))
 	})
 }
@@ -38,13 +38,30 @@
 
 // Run runs an on-ramp until it is told to leave and no connection is left.
 func (c *connectCommand) Run() error {
-	return run(c.Settings, settings.OnRamp.Logging, func(s settings.OnRamp, l zerolog.Logger) (bergamotgw.Process, error) {
-		return bergamotgw.NewOnRamp(s, bergamotgw.WithLogger(l))
+	return run(c.Settings, settings.OnRamp.Logging, func(s settings.OnRamp, l zerolog.Logger) (reloadable[settings.OnRamp], error) {
+		o, err := bergamotgw.NewOnRamp(s, bergamotgw.WithLogger(l))
+		return fixed[settings.OnRamp]{o}, err
 	})
 }
 
-// run loads the settings of a process and serves it.
-func run[T settings.Checkable](path string, logging func(T) settings.Log, build func(T, zerolog.Logger) (bergamotgw.Process, error)) error {
+// reloadable is a process that takes parts of new settings while it runs.
+type reloadable[T any] interface {
+	bergamotgw.Process
+	Reload(s T) error
+}
+
+// fixed is a process that takes no new settings but the log level.
+type fixed[T any] struct {
+	bergamotgw.Process
+}
+
+// Reload does nothing.
+func (fixed[T]) Reload(T) error {
+	return nil
+}
+
+// run loads the settings of a process and serves it under signals.
+func run[T settings.Checkable](path string, logging func(T) settings.Log, build func(T, zerolog.Logger) (reloadable[T], error)) error {
 	s, err := settings.Load[T](path)
 	if err != nil {
 		return err
@@ -54,8 +71,12 @@
 	if err != nil {
 		return err
 	}
-	return serve(p, log, func() (settings.Log, error) {
+	return serve(p, log, func() error {
 		s, err := settings.Load[T](path)
-		return logging(s), err
+		if err != nil {
+			return err
+		}
+		logs.SetLevel(logging(s))
+		return p.Reload(s)
 	})
 }
--- a/internal/lab/fleet/files.go
+++ b/internal/lab/fleet/files.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/bergamotgw/bergamotgw/pkg/request"
 )
 
 // Lengths of generated keys, in bytes.
@@ -26,8 +28,8 @@
 // certificateLife is how long generated certificates are valid.
 const certificateLife = 30 * 24 * time.Hour
 
-// Write makes keys and certificates and writes all files: settings as
-// balancer-N.json and VM.json, secrets, certificates and authority.pem.
+// Write makes keys and certificates and writes all files: secrets, certificates,
+// authority.pem, and the settings.
 func (p Plan) Write() error {
 	for name, length := range map[string]int{"connid-0.key": blockKeyLen, "connid-1.key": blockKeyLen, "hash.key": blockKeyLen, "reset.key": resetKeyLen} {
 		if err := p.writeSecret(name, length); err != nil {
@@ -37,11 +39,22 @@
 	if err := p.writeCertificates(); err != nil {
 		return err
 	}
+	return p.WriteSettings()
+}
+
+// WriteSettings writes the settings as balancer-N.json, VM.json, and
+// connect-SERVICE.json for an on-ramp.
+func (p Plan) WriteSettings() error {
 	for i := range p.Balancers {
 		if err := p.writeFile(fmt.Sprintf("balancer-%d.json", i+1), mustJSON(p.BalancerSettings(i+1))); err != nil {
 			return err
 		}
 	}
+	for _, s := range p.Services {
+		if err := p.writeFile("connect-"+s.Name+".json", mustJSON(p.OnRampSettings(s.Name, request.Repeatable))); err != nil {
+			return err
+		}
+	}
 	for _, e := range p.Endpoints() {
 		if err := p.writeFile(e.VM+".json", mustJSON(p.AgentSettings(e))); err != nil {
 			return err
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -25,6 +25,7 @@
 	statusPort  = 4700
 	backendPort = 4800
 	adminPort   = 4900
+	onRampPort  = 5000
 )
 
 // Third octets of the loopback addresses.
@@ -51,6 +52,11 @@
 	Placement string
 	// LogLevel is the level of all logs.
 	LogLevel string
+	// Epochs are the key epochs that all processes know, from 0 to 1; epoch 0
+	// alone without.
+	Epochs []uint8
+	// SealEpoch is the epoch whose key seals.
+	SealEpoch uint8
 }
 
 // Service describes a service.
@@ -233,11 +239,39 @@
 		Platform:     "http://" + p.Platform().String(),
 		Seeds:        seeds,
 		PeerNetworks: []netip.Prefix{p.network()},
-		Keys:         []settings.Key{{Epoch: 0, File: p.file("connid-0.key")}},
+		Keys:         p.keys(),
+		SealEpoch:    p.SealEpoch,
 		Log:          settings.Log{Level: p.LogLevel},
 	}
 }
 
+func (p Plan) keys() []settings.Key {
+	epochs := p.Epochs
+	if len(epochs) == 0 {
+		epochs = []uint8{0}
+	}
+	return lo.Map(epochs, func(e uint8, _ int) settings.Key {
+		return settings.Key{Epoch: e, File: p.file(fmt.Sprintf("connid-%d.key", e))}
+	})
+}
+
+// OnRampListen returns the address of the on-ramp of a service.
+func (p Plan) OnRampListen(service string) netip.AddrPort {
+	return netip.AddrPortFrom(p.Address(service).Addr(), onRampPort)
+}
+
+// OnRampSettings returns the settings of an on-ramp.
+func (p Plan) OnRampSettings(service string, kind request.Kind) settings.OnRamp {
+	return settings.OnRamp{
+		Listen:        p.OnRampListen(service),
+		Address:       p.Address(service),
+		Service:       service,
+		Kind:          string(kind),
+		AuthorityFile: p.AuthorityFile(),
+		Log:           settings.Log{Level: p.LogLevel},
+	}
+}
+
 func (p Plan) at(third, fourth int, port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, p.Octet, byte(third), byte(fourth)}), port)
 }
--- a/onramp.go
+++ b/onramp.go
@@ -66,8 +66,3 @@
 		wg.Go(func() { bridge.Serve(context.WithoutCancel(ctx), c.(*net.TCPConn)) })
 	}
 }
-
-// Reload does nothing: an on-ramp has no keys of its own.
-func (o *OnRamp) Reload() error {
-	return nil
-}
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -40,6 +40,11 @@
 		"watch-revisions": s.watchRevisions,
 		"usage":           s.usage,
 		"latency":         s.latency,
+		"cancel":          s.cancel,
+		"rotate":          s.rotate,
+		"on-ramp":         s.onRamp,
+		"tcp":             s.tcp,
+		"report":          s.report,
 		"control":         s.control,
 		"stats":           s.stats,
 	}
