Cancel a request at the backend server when its caller gives up

Cause: the agent watched for a cancelled stream only while it read the request or wrote the answer, so a backend server worked on for callers that had left between the two. The stand-in could not have shown it: after a half-close it no longer looked for a reset.

--- a/internal/agent/pump.go
+++ b/internal/agent/pump.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"errors"
 	"io"
 
@@ -23,9 +24,11 @@
 	Abort()
 }
 
-// pump copies both directions until the answer ends or is cut. first is called
-// at the first byte of the answer.
+// pump copies both directions until the answer ends or is cut, or the caller
+// gives up. first is called at the first byte of the answer.
 func pump(s *quic.Stream, up upstream, first func()) verdict.Verdict {
+	stop := context.AfterFunc(s.Context(), up.Abort)
+	defer stop()
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -143,7 +143,10 @@
 		_, err := io.Copy(io.Discard, reader)
 		if err != nil || kind == string(request.Session) {
 			cancel()
+			return
 		}
+		awaitReset(ctx, c)
+		cancel()
 	}()
 	if kind == string(request.Session) {
 		b.session(ctx, c, r, offset)
