--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -76,9 +76,10 @@
 	return p
 }
 
-// SetPeers starts and stops tasks so that they match the agents of the service.
+// SetPeers starts and stops tasks so that they match the agents of the service
+// that are nearest on the ring.
 func (p *Peers) SetPeers(ctx context.Context, agents []netip.AddrPort) {
-	agents = lo.Without(agents, p.config.Self)
+	agents = nearest(p.config.Self, agents)
 	p.tasks.Retarget(ctx, agents, p.follow)
 	p.mu.Lock()
 	defer p.mu.Unlock()
