--- a/internal/agent/flow.go
+++ b/internal/agent/flow.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return
 		}
-		go a.serveStream(c.Context(), f, s)
+		go a.serveStream(f, s)
 	}
 }
 
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -23,7 +22,7 @@
 }
 
 // serveStream handles one request from its preface to its end.
-func (a *Agent) serveStream(ctx context.Context, f *flow, s *quic.Stream) {
+func (a *Agent) serveStream(f *flow, s *quic.Stream) {
 	p, reason := a.readPreface(s)
 	if reason != "" {
 		a.refuse(s, p, reason)
--- a/test/integration/latency_test.go
+++ b/test/integration/latency_test.go
@@ -24,14 +24,7 @@
 	count := 500
 	d.MaybeScanArgs(s.t, "count", &count)
 	service := s.planned(d.CmdArgs[0].Key)
-	tls, err := s.plan.CallerTLS()
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	c, err := caller.NewCaller(s.plan.Address(service.Name), service.Name, caller.WithTLS(tls))
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	c := s.newCaller(service.Name)
 	defer func() { _ = c.Close() }()
 	direct := backend.NewDialer(s.plan.Backend(s.plan.Endpoint(service.Name + "-1")))
 	times := make(map[string][]time.Duration)
--- a/test/integration/product_test.go
+++ b/test/integration/product_test.go
@@ -103,14 +103,7 @@
 // server works on it: cancel SERVICE.
 func (s *system) cancel(d *datadriven.TestData) string {
 	service := s.planned(d.CmdArgs[0].Key)
-	tls, err := s.plan.CallerTLS()
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	c, err := caller.NewCaller(s.plan.Address(service.Name), service.Name, caller.WithTLS(tls))
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	c := s.newCaller(service.Name)
 	defer func() { _ = c.Close() }()
 	r := wire.Request{ID: "cancelled", Service: service.Name, WorkMicros: 60_000_000, Body: 10, Answer: 10}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,6 +122,19 @@
 	return failure.Verdict.String()
 }
 
+// newCaller returns a caller of a service.
+func (s *system) newCaller(service string) *caller.Caller {
+	tls, err := s.plan.CallerTLS()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c, err := caller.NewCaller(s.plan.Address(service), service, caller.WithTLS(tls))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return c
+}
+
 // inFlight returns how many requests the backend servers of a service run.
 func (s *system) inFlight(service string) int {
 	sum := 0
