Leave flows whose agent has fallen silent

Cause: a caller kept a flow until its idle timeout of 30 s when the agent was gone without a reset, as when the VM's IP number serves another service. Every request on it failed at its deadline. Ruled out: a shorter idle timeout, which multiplies the keep-alives of 33 million flows. Now a flow on which nothing arrives for 1 s while a request waits for its grant is left, and requests that may be tried again move. Repeatable requests are repeated after any failure.

--- a/internal/lab/fleet/files.go
+++ b/internal/lab/fleet/files.go
@@ -56,13 +56,18 @@
 		}
 	}
 	for _, e := range p.Endpoints() {
-		if err := p.writeFile(e.VM+".json", mustJSON(p.AgentSettings(e))); err != nil {
+		if err := p.WriteAgentSettings(e); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// WriteAgentSettings writes the settings of one agent as VM.json.
+func (p Plan) WriteAgentSettings(e Endpoint) error {
+	return p.writeFile(e.VM+".json", mustJSON(p.AgentSettings(e)))
+}
+
 // AuthorityFile returns the file of the authority's certificate.
 func (p Plan) AuthorityFile() string {
 	return p.file("authority.pem")
--- a/pkg/caller/budget.go
+++ b/pkg/caller/budget.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/pkg/answer"
+	"github.com/bergamotgw/bergamotgw/pkg/request"
+	"github.com/bergamotgw/bergamotgw/pkg/verdict"
 )
 
 // Bounds of retries.
@@ -49,9 +51,10 @@
 	return true
 }
 
-// mayRetry reports whether another try is safe and can succeed.
-func (e *Error) mayRetry() bool {
-	if !e.Verdict.SafeToRepeat() {
+// mayRetry reports whether another try is safe and can succeed. A repeatable
+// request may run more than once.
+func (e *Error) mayRetry(kind request.Kind) bool {
+	if !e.Verdict.SafeToRepeat() && kind != request.Repeatable {
 		return false
 	}
 	switch e.Reason {
@@ -62,6 +65,15 @@
 	}
 }
 
+// after returns the error for all tries so far: a request that may have run in
+// an earlier try may have run.
+func (e *Error) after(earlier *Error) *Error {
+	if earlier == nil || earlier.Verdict == verdict.NotRun {
+		return e
+	}
+	return &Error{Verdict: verdict.MayHaveRun, Reason: e.Reason, Err: e.Err}
+}
+
 // retryDelay grows exponentially, with full jitter.
 func retryDelay(tries int) time.Duration {
 	d := min(minRetryDelay<<min(tries, 10), maxRetryDelay)
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -31,6 +31,9 @@
 	attemptDelay = 300 * time.Millisecond
 	// maxAttempts bounds the attempts that run at once.
 	maxAttempts = 6
+	// silenceTimeout is how long an agent may send nothing at all while a request
+	// waits for its grant. A live agent acknowledges within a round trip.
+	silenceTimeout = time.Second
 	// openTimeout bounds the opening of a flow.
 	openTimeout       = 10 * time.Second
 	initialPacketSize = 1200
@@ -188,18 +191,22 @@
 	return nil
 }
 
-// Do runs a request and returns its whole answer. It repeats a request only
-// while the verdict is NotRun, the retry budget allows it and the context lasts.
+// Do runs a request and returns its whole answer. It repeats a Once request only
+// after NotRun, and a Repeatable one after any failure, while the retry budget
+// allows it and the context lasts.
 // The context's deadline is sent along. Errors are of type *Error.
 func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
 	c.budget.first()
+	var earlier *Error
 	for tries := 1; ; tries++ {
 		a, err := c.try(ctx, r)
 		if err == nil {
 			a.Tries = tries
 			return a, nil
 		}
-		if !err.mayRetry() || ctx.Err() != nil || !c.budget.retry() {
+		err = err.after(earlier)
+		earlier = err
+		if !err.mayRetry(r.Kind) || ctx.Err() != nil || !c.budget.retry() {
 			return Answer{}, err
 		}
 		if !sleep(ctx, retryDelay(tries)) {
--- a/pkg/caller/flow.go
+++ b/pkg/caller/flow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/quic-go/quic-go"
@@ -37,6 +38,18 @@
 	}
 }
 
+// onSilence calls act if nothing at all arrives on the flow within the silence
+// timeout. The returned function ends the watch.
+func (f *flow) onSilence(act func()) (stop func() bool) {
+	before := f.conn.ConnectionStats().PacketsReceived
+	t := time.AfterFunc(silenceTimeout, func() {
+		if f.conn.ConnectionStats().PacketsReceived == before {
+			act()
+		}
+	})
+	return t.Stop
+}
+
 // listen waits for notices of the agent until the flow ends.
 func (f *flow) listen() {
 	for range maxNotices {
--- a/pkg/caller/session.go
+++ b/pkg/caller/session.go
@@ -35,7 +35,7 @@
 		if err == nil {
 			return s, nil
 		}
-		if !err.mayRetry() || ctx.Err() != nil || !c.budget.retry() {
+		if !err.mayRetry(request.Once) || ctx.Err() != nil || !c.budget.retry() {
 			return nil, err
 		}
 		if !sleep(ctx, retryDelay(tries)) {
--- a/pkg/caller/try.go
+++ b/pkg/caller/try.go
@@ -34,10 +34,12 @@
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
 	defer stop()
 	early := c.earlyBody || r.Kind != request.Once
+	heard := f.onSilence(func() { c.abandon(f, s, !early || r.Kind == request.Repeatable) })
 	if early {
 		go sendBody(s, r.Body)
 	}
 	a, err := c.granted(ctx, f, s)
+	heard()
 	if err != nil {
 		cancelStream(s)
 		return Answer{}, err.unsent(!early)
@@ -56,6 +58,15 @@
 	return Answer{Body: body, VM: a.VM}, nil
 }
 
+// abandon leaves a flow whose agent has fallen silent. A request that may be
+// tried on another flow is cancelled on this one.
+func (c *Caller) abandon(f *flow, s *quic.Stream, again bool) {
+	c.forget(f)
+	if again {
+		cancelStream(s)
+	}
+}
+
 func sendBody(s *quic.Stream, body []byte) {
 	if _, err := s.Write(body); err == nil {
 		_ = s.Close()
--- a/test/integration/commands_test.go
+++ b/test/integration/commands_test.go
@@ -32,6 +32,8 @@
 		"backend":         s.setBehaviour,
 		"publish":         s.publish,
 		"vm":              s.vm,
+		"reuse":           s.reuse,
+		"reused-journal":  s.reusedJournal,
 		"restart":         s.restart,
 		"mark":            s.mark,
 		"last-new":        s.lastNew,
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -154,6 +154,33 @@
 	return "ok"
 }
 
+// reuse kills an agent with its backend server, and starts those of another
+// service on the same address, which the document does not list:
+// reuse VM SERVICE.
+func (s *system) reuse(d *datadriven.TestData) string {
+	e := s.plan.Endpoint(d.CmdArgs[0].Key)
+	service := s.planned(d.CmdArgs[1].Key)
+	for _, name := range []string{e.VM, "backend-" + e.VM} {
+		_ = s.processes[name].command.Process.Kill()
+		<-s.processes[name].exited
+	}
+	other := e
+	other.VM, other.Service = "reused", service
+	if err := s.plan.WriteAgentSettings(other); err != nil {
+		s.t.Fatal(err)
+	}
+	s.startBackend(other)
+	s.startAgent(other)
+	s.reused = &other
+	return "ok"
+}
+
+// reusedJournal prints how many requests reached the backend server on the
+// reused address.
+func (s *system) reusedJournal(*datadriven.TestData) string {
+	return fmt.Sprintf("requests: %d", len(s.journalOf(*s.reused)))
+}
+
 // mark remembers the present time: mark NAME.
 func (s *system) mark(d *datadriven.TestData) string {
 	s.marks[d.CmdArgs[0].Key] = time.Now()
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -38,6 +38,8 @@
 	outcomes []load.Outcome
 	// revisions holds the last published revision of each key.
 	revisions map[string]uint64
+	// reused is the endpoint on a reused address; nil if there is none.
+	reused *fleet.Endpoint
 	// marks are remembered times.
 	marks map[string]time.Time
 	// watch counts revisions that go back; nil unless started.
