--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -15,7 +15,8 @@
 // lengthLen is the size of the length prefix, in bytes.
 const lengthLen = 2
 
-// decoder refuses unknown fields, duplicate keys and deep nesting.
+// decoder refuses duplicate keys, indefinite lengths and deep nesting. It ignores
+// unknown fields, so that later versions can add some.
 var decoder = mustDecMode(cbor.DecOptions{
 	DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 	IndefLength:      cbor.IndefLengthForbidden,
