Share the retry loop and the watch for silence; list live balancers at intervals

The loops of Do and Open were the same but for their body; one loop now serves both, so streams also report a verdict over all tries. The watch for a silent agent stood in the path of whole requests only; in the read of the answer preface it serves sessions and the on-ramp as well. Answers beyond three without a reply sorted all known balancers for every datagram, up to 2,100 at the size to design for; the list is now made anew every 25 ms. Three look-ups in the ledger share one.

--- a/internal/ledger/queries.go
+++ b/internal/ledger/queries.go
@@ -40,10 +40,15 @@
 
 // Get returns the entry in force under the key.
 func (l *Ledger) Get(key string) (entry.Entry, bool) {
+	a, ok := l.find(key)
+	return a.entry, ok
+}
+
+func (l *Ledger) find(key string) (accepted, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	a, ok := l.accepted[key]
-	return a.entry, ok
+	return a, ok
 }
 
 // Texts returns the entry in force under the key and the refused one above it,
@@ -63,9 +68,7 @@
 
 // Section returns the section in force under the name.
 func (l *Ledger) Section(name string) (section.Section, bool) {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	a, ok := l.accepted[entry.SectionPrefix+name]
+	a, ok := l.find(entry.SectionPrefix + name)
 	if !ok {
 		return section.Section{}, false
 	}
@@ -74,9 +77,7 @@
 
 // VM returns the VM in force under the name.
 func (l *Ledger) VM(name string) (vm.VM, bool) {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	a, ok := l.accepted[entry.VMPrefix+name]
+	a, ok := l.find(entry.VMPrefix + name)
 	if !ok {
 		return vm.VM{}, false
 	}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -20,6 +20,8 @@
 	trusted = 3
 	// fresh is how long a balancer counts as alive after any datagram of it.
 	fresh = 250 * time.Millisecond
+	// refresh is how long a list of live balancers is used before it is made anew.
+	refresh = 25 * time.Millisecond
 	// maxRecent bounds the balancers that are remembered.
 	maxRecent = 64
 )
@@ -42,6 +44,9 @@
 	byCaller map[netip.AddrPort]*heard
 	// balancers holds when each balancer last delivered a datagram of any caller.
 	balancers map[netip.AddrPort]time.Time
+	// live lists the live balancers as of listed.
+	live   []netip.AddrPort
+	listed time.Time
 	// swept is when silent callers were last removed.
 	swept time.Time
 }
@@ -70,6 +75,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.byCaller[caller] = &heard{path: path, at: now}
+	if _, known := p.balancers[path.Via]; !known {
+		p.live = nil
+	}
 	p.balancers[path.Via] = now
 	if now.Sub(p.swept) >= p.lifetime {
 		p.sweep(now)
@@ -98,10 +106,18 @@
 	return Path{Address: h.path.Address, Via: alive[h.unanswered%len(alive)]}, true
 }
 
-// alive returns the balancers heard lately, or all that are remembered if none
-// was, most recent first.
+// alive returns the balancers heard lately. The list is made anew at intervals
+// only, since bursts of answers ask for it with every datagram.
 func (p *Paths) alive() []netip.AddrPort {
-	now := p.clock.Now()
+	if now := p.clock.Now(); p.live == nil || now.Sub(p.listed) >= refresh {
+		p.live, p.listed = p.list(now), now
+	}
+	return p.live
+}
+
+// list returns the balancers heard lately, or all that are remembered if none
+// was, most recent first.
+func (p *Paths) list(now time.Time) []netip.AddrPort {
 	list := lo.Keys(p.balancers)
 	slices.SortFunc(list, func(a, b netip.AddrPort) int {
 		return cmp.Or(p.balancers[b].Compare(p.balancers[a]), a.Compare(b))
--- a/pkg/caller/budget.go
+++ b/pkg/caller/budget.go
@@ -51,6 +51,24 @@
 	return true
 }
 
+// retrying runs tries while they fail, another is safe, the budget allows it and
+// the context lasts. The error covers all tries.
+func (c *Caller) retrying(ctx context.Context, kind request.Kind, try func(tries int) *Error) *Error {
+	c.budget.first()
+	var earlier *Error
+	for tries := 1; ; tries++ {
+		err := try(tries)
+		if err == nil {
+			return nil
+		}
+		err = err.after(earlier)
+		earlier = err
+		if !err.mayRetry(kind) || ctx.Err() != nil || !c.budget.retry() || !sleep(ctx, retryDelay(tries)) {
+			return err
+		}
+	}
+}
+
 // mayRetry reports whether another try is safe and can succeed. A repeatable
 // request may run more than once.
 func (e *Error) mayRetry(kind request.Kind) bool {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -196,21 +196,14 @@
 // allows it and the context lasts.
 // The context's deadline is sent along. Errors are of type *Error.
 func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
-	c.budget.first()
-	var earlier *Error
-	for tries := 1; ; tries++ {
-		a, err := c.try(ctx, r)
-		if err == nil {
-			a.Tries = tries
-			return a, nil
-		}
-		err = err.after(earlier)
-		earlier = err
-		if !err.mayRetry(r.Kind) || ctx.Err() != nil || !c.budget.retry() {
-			return Answer{}, err
-		}
-		if !sleep(ctx, retryDelay(tries)) {
-			return Answer{}, err
-		}
+	var a Answer
+	err := c.retrying(ctx, r.Kind, func(tries int) (err *Error) {
+		a, err = c.try(ctx, r)
+		a.Tries = tries
+		return err
+	})
+	if err != nil {
+		return Answer{}, err
 	}
+	return a, nil
 }
--- a/pkg/caller/session.go
+++ b/pkg/caller/session.go
@@ -29,19 +29,16 @@
 // themselves. It is opened again only while nothing was written. Errors are of
 // type *Error.
 func (c *Caller) Open(ctx context.Context, kind request.Kind, key string, offset uint64) (*Session, error) {
-	c.budget.first()
-	for tries := 1; ; tries++ {
-		s, err := c.tryOpen(ctx, request.Preface{Service: c.service, Kind: kind, Key: key, Offset: offset})
-		if err == nil {
-			return s, nil
-		}
-		if !err.mayRetry(request.Once) || ctx.Err() != nil || !c.budget.retry() {
-			return nil, err
-		}
-		if !sleep(ctx, retryDelay(tries)) {
-			return nil, err
-		}
+	p := request.Preface{Service: c.service, Kind: kind, Key: key, Offset: offset}
+	var s *Session
+	err := c.retrying(ctx, request.Once, func(int) (err *Error) {
+		s, err = c.tryOpen(ctx, p)
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return s, nil
 }
 
 func (c *Caller) tryOpen(ctx context.Context, p request.Preface) (*Session, *Error) {
@@ -50,7 +47,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
-	a, err := c.granted(ctx, f, s)
+	a, err := c.granted(ctx, f, s, true)
 	if !stop() && err == nil {
 		err = failure(ctx, ctx.Err())
 	}
--- a/pkg/caller/try.go
+++ b/pkg/caller/try.go
@@ -34,12 +34,10 @@
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
 	defer stop()
 	early := c.earlyBody || r.Kind != request.Once
-	heard := f.onSilence(func() { c.abandon(f, s, !early || r.Kind == request.Repeatable) })
 	if early {
 		go sendBody(s, r.Body)
 	}
-	a, err := c.granted(ctx, f, s)
-	heard()
+	a, err := c.granted(ctx, f, s, !early || r.Kind == request.Repeatable)
 	if err != nil {
 		cancelStream(s)
 		return Answer{}, err.unsent(!early)
@@ -103,8 +101,11 @@
 	return f, s, nil
 }
 
-// granted reads the answer preface.
-func (c *Caller) granted(ctx context.Context, f *flow, s *quic.Stream) (answer.Preface, *Error) {
+// granted reads the answer preface. If the agent falls silent meanwhile, the flow
+// is left; again tells whether the request may be tried on another one.
+func (c *Caller) granted(ctx context.Context, f *flow, s *quic.Stream, again bool) (answer.Preface, *Error) {
+	stop := f.onSilence(func() { c.abandon(f, s, again) })
+	defer stop()
 	p, err := frame.Read[answer.Preface](s)
 	if err != nil {
 		return p, failure(ctx, err)
