--- /dev/null
+++ b/internal/directory/exchange.go
@@ -0,0 +1,204 @@
+package directory
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/rpc"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Bounds of the exchange.
+const (
+	// digestInterval is the pause between digests.
+	digestInterval = 300 * time.Millisecond
+	// maxDigests is how many balancers each round of digests goes to.
+	maxDigests = 16
+	// forgetAfter is how long a silent balancer still gets digests.
+	forgetAfter = 60 * time.Second
+	// settle is how much newer another balancer's reading must be to be fetched
+	// although it lists the same servers.
+	settle = 100 * time.Millisecond
+)
+
+const catalogMethod = "catalog"
+
+type catalogParams struct {
+	ConfigVersion uint64 `json:"configVersion"`
+	Revision      uint64 `json:"revision"`
+}
+
+type catalogResult struct {
+	// Routes is absent if the caller has the same or newer ones.
+	Routes *catalog.Routes `json:"routes,omitempty"`
+	// Servers is absent if the caller has the same or newer ones.
+	Servers *catalog.Servers `json:"servers,omitempty"`
+	// AgeMillis is the time since the servers were read.
+	AgeMillis int64 `json:"ageMillis"`
+}
+
+// exchange sends digests at intervals.
+func (d *Directory) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.sendDigests()
+		d.sleep(ctx, digestInterval)
+	}
+}
+
+func (d *Directory) sendDigests() {
+	f := d.freshness()
+	if f.Revision == 0 {
+		f.Age = forgetAfter
+	}
+	targets := d.targets()
+	var b [steer.DigestMaxLen]byte
+	n := steer.PutDigest(b[:], f, lo.Samples(targets, steer.MaxMembers))
+	for _, t := range targets {
+		d.config.Send(b[:n], t)
+	}
+}
+
+// targets returns the balancers for a round of digests: all, or a sample.
+func (d *Directory) targets() []netip.AddrPort {
+	now := d.config.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a, heard := range d.members {
+		if !heard.IsZero() && now.Sub(heard) > forgetAfter {
+			delete(d.members, a)
+		}
+	}
+	all := lo.Keys(d.members)
+	if len(all) > maxDigests {
+		return lo.Samples(all, maxDigests)
+	}
+	return all
+}
+
+// HandleDigest takes a digest of another balancer.
+func (d *Directory) HandleDigest(ctx context.Context, raw []byte, from netip.AddrPort) {
+	f, members, ok := steer.ParseDigest(raw)
+	if !ok {
+		return
+	}
+	now := d.config.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members[from] = now
+	if f.Leaving {
+		delete(d.members, from)
+	}
+	for _, m := range members {
+		if _, known := d.members[m]; !known && m != d.config.Self {
+			d.members[m] = time.Time{}
+		}
+	}
+	c := d.catalog.Load()
+	readAt := now.Add(-f.Age)
+	if f.Sum == d.sum && f.Revision > 0 && readAt.After(d.readAt) {
+		d.readAt = readAt
+	}
+	newer := f.ConfigVersion > c.Routes.Version ||
+		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-settle))
+	if newer && !d.fetching[from] {
+		d.fetching[from] = true
+		go d.fetch(ctx, from)
+	}
+}
+
+// fetch takes what another balancer has newer.
+func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) {
+	defer func() {
+		d.mu.Lock()
+		delete(d.fetching, from)
+		d.mu.Unlock()
+	}()
+	address := netip.AddrPortFrom(from.Addr(), d.config.Peer.Port())
+	c, err := d.server.Dial(ctx, address.String())
+	if err != nil {
+		d.config.Log.Debug().Str("event", "fetchFailed").Stringer("balancer", from).Err(err).Send()
+		return
+	}
+	defer func() { _ = c.Close() }()
+	have := d.catalog.Load()
+	asked := d.config.Clock.Now()
+	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision})
+	if err != nil {
+		d.config.Log.Debug().Str("event", "fetchFailed").Stringer("balancer", from).Err(err).Send()
+		return
+	}
+	d.counts.Fetches.Add(1)
+	if r.Routes != nil {
+		d.takeRoutes(*r.Routes, from.String())
+	}
+	if r.Servers != nil {
+		age := time.Duration(r.AgeMillis)*time.Millisecond + d.config.Clock.Since(asked)
+		d.takeServers(*r.Servers, age, from.String())
+	}
+}
+
+func (d *Directory) serveCatalog(_ context.Context, _ *rpc.Conn, p catalogParams) (catalogResult, error) {
+	c := d.catalog.Load()
+	var r catalogResult
+	if c.Routes.Version > p.ConfigVersion {
+		r.Routes = &c.Routes
+	}
+	if c.Servers.Revision > p.Revision {
+		r.Servers = &c.Servers
+		age, _ := d.Age()
+		r.AgeMillis = age.Milliseconds()
+	}
+	return r, nil
+}
+
+// askSeeds takes the catalog of the balancers named in the settings, so that a
+// restarted balancer serves while the platform is down.
+func (d *Directory) askSeeds(ctx context.Context) {
+	for _, s := range d.targets() {
+		if d.Catalog().Complete() || ctx.Err() != nil {
+			return
+		}
+		d.fetch(ctx, s)
+	}
+}
+
+// listen serves calls of other balancers.
+func (d *Directory) listen(ctx context.Context) {
+	l, err := net.Listen("tcp4", d.config.Peer.String())
+	if err != nil {
+		d.config.Log.Error().Str("event", "listenFailed").Stringer("address", d.config.Peer).Err(err).Send()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.config.Log.Warn().Str("event", "acceptFailed").Err(err).Send()
+			d.sleep(ctx, retryInterval)
+			continue
+		}
+		go d.serveConn(ctx, c)
+	}
+}
+
+func (d *Directory) serveConn(ctx context.Context, nc net.Conn) {
+	c := d.server.Attach(ctx, nc)
+	select {
+	case <-c.Closed():
+	case <-ctx.Done():
+	case <-d.config.Clock.After(connLifetime):
+	}
+	_ = c.Close()
+}
+
+// connLifetime bounds a connection of another balancer, which makes one call.
+const connLifetime = 5 * time.Second
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,148 @@
+// Package dispatch holds requests that wait for a backend server, and decides
+// which one goes next.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Bounds of what is held.
+const (
+	// MaxPackets bounds the packets held for one request; a caller has at most 16
+	// in flight.
+	MaxPackets = 16
+	// MaxRequests bounds the requests held; with packets of 1.2 KB that is 5 MB.
+	MaxRequests = 256
+)
+
+// Request is a request that waits.
+type Request struct {
+	// Flow is the flow that it arrived on.
+	Flow packet.Flow
+	// Class describes it.
+	Class steer.Class
+	// Arrived is when its first packet came.
+	Arrived time.Time
+
+	packets []held
+}
+
+type held struct {
+	seq uint32
+	raw []byte
+}
+
+// Packets calls deliver for each packet in order of arrival.
+func (r *Request) Packets(deliver func(raw []byte)) {
+	for _, h := range r.packets {
+		deliver(h.raw)
+	}
+}
+
+// Queue holds requests. It is not safe for concurrent use.
+type Queue struct {
+	list []*Request
+}
+
+// Push adds a request with its first packet, which is copied. It returns false
+// if the queue is full.
+func (q *Queue) Push(r *Request, p packet.Packet, raw []byte) bool {
+	if len(q.list) >= MaxRequests {
+		return false
+	}
+	q.list = append(q.list, r)
+	r.add(p, raw)
+	return true
+}
+
+// Add adds a further packet of a waiting request. Copies of held packets are
+// ignored.
+func (q *Queue) Add(f packet.Flow, p packet.Packet, raw []byte) {
+	for _, r := range q.list {
+		if r.Flow == f {
+			r.add(p, raw)
+			return
+		}
+	}
+}
+
+func (r *Request) add(p packet.Packet, raw []byte) {
+	if len(r.packets) >= MaxPackets {
+		return
+	}
+	for _, h := range r.packets {
+		if h.seq == p.Seq {
+			return
+		}
+	}
+	r.packets = append(r.packets, held{seq: p.Seq, raw: append([]byte(nil), raw...)})
+}
+
+// Len returns the number of requests held.
+func (q *Queue) Len() int {
+	return len(q.list)
+}
+
+// Next removes and returns the request to deliver, given the time that the
+// server takes: first those that can still be answered within their
+// response-time objective, then by priority, then by age.
+func (q *Queue) Next(now time.Time, service time.Duration) *Request {
+	best := -1
+	for i, r := range q.list {
+		if best < 0 || r.before(q.list[best], now.Add(service)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return q.remove(best)
+}
+
+// Expired removes and returns a request whose timeout has passed, or nil.
+func (q *Queue) Expired(now time.Time) *Request {
+	for i, r := range q.list {
+		if r.Class.TimeoutMillis > 0 && !now.Before(r.Arrived.Add(millis(r.Class.TimeoutMillis))) {
+			return q.remove(i)
+		}
+	}
+	return nil
+}
+
+// Drop removes the request of a flow.
+func (q *Queue) Drop(f packet.Flow) {
+	for i, r := range q.list {
+		if r.Flow == f {
+			q.remove(i)
+			return
+		}
+	}
+}
+
+func (q *Queue) remove(i int) *Request {
+	r := q.list[i]
+	q.list = append(q.list[:i], q.list[i+1:]...)
+	return r
+}
+
+// before reports whether r goes before s if an answer would come at done.
+func (r *Request) before(s *Request, done time.Time) bool {
+	if a, b := r.inTime(done), s.inTime(done); a != b {
+		return a
+	}
+	if r.Class.Priority != s.Class.Priority {
+		return r.Class.Priority < s.Class.Priority
+	}
+	return r.Arrived.Before(s.Arrived)
+}
+
+func (r *Request) inTime(done time.Time) bool {
+	return r.Class.TargetMillis == 0 || !done.After(r.Arrived.Add(millis(r.Class.TargetMillis)))
+}
+
+func millis(n uint16) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/packetagent/inbound.go
@@ -0,0 +1,238 @@
+package packetagent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/flowtable"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// readRelay takes what balancers and other agents send.
+func (a *Agent) readRelay() {
+	buf := make([]byte, steer.MaxLen+maxDatagramBytes)
+	var e steer.Envelope
+	for {
+		n, from, err := a.relay.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.counts.Malformed.Add(1)
+			continue
+		}
+		a.handleRelay(&e, buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (a *Agent) handleRelay(e *steer.Envelope, raw []byte, from netip.AddrPort) {
+	now := a.config.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if kind, ok := steer.KindOf(raw); ok && kind == steer.Ping {
+		a.listeners[from] = now
+		a.report(from, packet.Flow{}, now)
+		return
+	}
+	rest, ok := e.Parse(raw)
+	if !ok || e.Kind != steer.Forward {
+		a.counts.Malformed.Add(1)
+		return
+	}
+	p, ok := a.config.Codec.Parse(rest)
+	if !ok {
+		a.counts.Malformed.Add(1)
+		return
+	}
+	a.listeners[e.Balancer] = now
+	if s := e.Self().Slots; s > 0 {
+		a.slots = int(s)
+	}
+	if p.Syn && !p.Ack {
+		a.handleSyn(e, p, raw, rest, now)
+		return
+	}
+	a.handlePacket(e, p, raw, rest, now)
+}
+
+// handleSyn admits a new flow, or passes it to the next candidate.
+func (a *Agent) handleSyn(e *steer.Envelope, p packet.Packet, raw, rest []byte, now time.Time) {
+	flow := p.SentFlow()
+	if e.Service != a.config.Service {
+		a.counts.WrongService.Add(1)
+		a.passSyn(e, flow, raw, rest)
+		return
+	}
+	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Open {
+		a.deliverSyn(e, entry, p, rest, now)
+		return
+	}
+	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Opening {
+		// The server left the first copy unanswered.
+		if e.Take || a.offer(e, flow, raw, rest, silentDelay) {
+			a.deliverSyn(e, entry, p, rest, now)
+		}
+		return
+	}
+	delay, ready := a.delay(now)
+	if !ready && !e.Take && !a.offer(e, flow, raw, rest, delay) {
+		return
+	}
+	if timeout := time.Duration(e.Class.TimeoutMillis) * time.Millisecond; !ready && timeout > 0 && delay >= timeout {
+		a.refuse(flow, p, delay, timeout)
+		return
+	}
+	entry := a.table.Add(flow, now)
+	entry.Class = e.Class
+	a.expected[flow] = now
+	a.counts.Admitted.Add(1)
+	a.deliverSyn(e, entry, p, rest, now)
+}
+
+func (a *Agent) deliverSyn(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
+	entry.Balancer = e.Balancer
+	entry.Delivered = now
+	entry.Sent(p, now)
+	a.report(e.Balancer, entry.Flow, now)
+	a.deliver(e, rest, now)
+}
+
+// offer passes a new flow to the next candidate, or to the one with the
+// shortest delay if all were asked. It returns true if that is this agent.
+func (a *Agent) offer(e *steer.Envelope, flow packet.Flow, raw, rest []byte, delay time.Duration) (own bool) {
+	if millis := uint16(min(delay.Milliseconds(), silentDelay.Milliseconds())); e.Best == steer.NoBest || millis < e.BestDelayMillis {
+		e.Best, e.BestDelayMillis = e.Hop, millis
+	}
+	return a.passSyn(e, flow, raw, rest)
+}
+
+// passSyn passes a new flow on. At the end of the list it goes to the candidate
+// with the shortest delay, which must take it; passSyn returns true if that is
+// this agent.
+func (a *Agent) passSyn(e *steer.Envelope, flow packet.Flow, raw, rest []byte) (own bool) {
+	if a.passOn(e, raw, rest) {
+		return false
+	}
+	if e.Take || e.Best == steer.NoBest {
+		a.lost(e, flow)
+		return false
+	}
+	e.Take, e.Hop = true, e.Best
+	if e.Self().Agent == a.config.Relay {
+		return true
+	}
+	a.resend(e, raw, rest)
+	return false
+}
+
+// passOn sends a packet to the next candidate, if there is one.
+func (a *Agent) passOn(e *steer.Envelope, raw, rest []byte) bool {
+	if e.Take {
+		return false
+	}
+	for e.Hop+1 < e.Count {
+		e.Hop++
+		if e.Self().Agent != a.config.Relay {
+			a.counts.PassedOn.Add(1)
+			a.resend(e, raw, rest)
+			return true
+		}
+	}
+	return false
+}
+
+// resend sends a packet with its changed envelope, which has the length that it
+// had in raw, to the candidate in it.
+func (a *Agent) resend(e *steer.Envelope, raw, rest []byte) {
+	if raw == nil {
+		raw = make([]byte, e.Len()+len(rest))
+		copy(raw[e.Len():], rest)
+	}
+	e.Put(raw)
+	a.send(raw, e.Self().Agent)
+}
+
+// handlePacket delivers a packet of a flow that the server holds, and passes
+// others on.
+func (a *Agent) handlePacket(e *steer.Envelope, p packet.Packet, raw, rest []byte, now time.Time) {
+	flow := p.SentFlow()
+	entry := a.table.Get(flow)
+	if entry != nil && entry.Holds(p) {
+		a.found(e, entry, now)
+		a.deliverPacket(e, entry, p, rest, now)
+		return
+	}
+	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
+		a.counts.Asked.Add(1)
+		a.deliver(e, rest, now)
+		return
+	}
+	a.notHeld(e, flow, raw, rest)
+}
+
+// found tells a balancer that searched for a flow where it is.
+func (a *Agent) found(e *steer.Envelope, entry *flowtable.Entry, now time.Time) {
+	entry.Balancer = e.Balancer
+	entry.Class = e.Class
+	if !e.Cached {
+		a.report(e.Balancer, entry.Flow, now)
+	}
+}
+
+// notHeld passes a packet on whose flow the server does not hold.
+func (a *Agent) notHeld(e *steer.Envelope, flow packet.Flow, raw, rest []byte) {
+	if e.Cached {
+		a.counts.Returned.Add(1)
+		e.Kind = steer.Return
+		if raw == nil {
+			raw = make([]byte, e.Len()+len(rest))
+			copy(raw[e.Len():], rest)
+		}
+		e.Put(raw)
+		a.send(raw, e.Balancer)
+		return
+	}
+	if !a.passOn(e, raw, rest) {
+		a.lost(e, flow)
+	}
+}
+
+// lost tells the balancer that nobody takes or holds a flow.
+func (a *Agent) lost(e *steer.Envelope, flow packet.Flow) {
+	a.counts.Lost.Add(1)
+	var b [steer.LostLen]byte
+	steer.PutLost(b[:], flow, e.Complete)
+	a.send(b[:], e.Balancer)
+}
+
+// refuse resets a new flow that the server could not serve in time.
+func (a *Agent) refuse(flow packet.Flow, p packet.Packet, delay, timeout time.Duration) {
+	a.counts.Refused.Add(1)
+	a.config.Log.Warn().Str("event", "flowRefused").Stringer("flow", flow).Str("reason", "overload").
+		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
+	a.reset(flow, p.AckSeq)
+}
+
+func (a *Agent) reset(flow packet.Flow, seq uint32) {
+	var raw [packet.ResetLen]byte
+	n := a.config.Codec.PutReset(raw[:], flow, seq)
+	a.sendToCaller(raw[:n], flow)
+}
+
+// deliver gives a packet to the server, with a tag that a bounce carries back.
+func (a *Agent) deliver(e *steer.Envelope, rest []byte, now time.Time) {
+	a.config.Codec.PutTag(rest, a.tags.remember(e))
+	a.write(rest, now)
+}
+
+func (a *Agent) write(rest []byte, now time.Time) {
+	if a.unanswered.IsZero() {
+		a.unanswered = now
+	}
+	if _, err := a.outbound.WriteToUDPAddrPort(rest, a.config.Server); err != nil {
+		a.counts.SendFailed.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/packetagent/outbound.go
@@ -0,0 +1,98 @@
+package packetagent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/flowtable"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// readOutbound takes packets of the server.
+func (a *Agent) readOutbound() {
+	buf := make([]byte, maxDatagramBytes)
+	for {
+		n, _, err := a.outbound.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// The kernel reports here that nobody listens at the server's address.
+			a.counts.SendFailed.Add(1)
+			continue
+		}
+		a.handleOutbound(buf[:n])
+	}
+}
+
+func (a *Agent) handleOutbound(raw []byte) {
+	p, ok := a.config.Codec.Parse(raw)
+	if !ok {
+		a.counts.Malformed.Add(1)
+		return
+	}
+	now := a.config.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unanswered = time.Time{}
+	if p.Bounced {
+		a.handleBounce(p, raw, now)
+		return
+	}
+	flow := p.AnsweredFlow()
+	a.noteAnswer(flow, p, now)
+	a.sendToCaller(raw, flow)
+}
+
+// noteAnswer follows the server's side of a flow.
+func (a *Agent) noteAnswer(flow packet.Flow, p packet.Packet, now time.Time) {
+	entry := a.table.Get(flow)
+	if entry == nil {
+		if p.Reset {
+			return
+		}
+		// The flow was opened before this process started.
+		a.counts.Learnt.Add(1)
+		entry = a.table.Add(flow, now)
+		entry.State = flowtable.Open
+	}
+	if entry.Answered(p, now) {
+		a.finish(entry, now)
+	}
+	if entry.State == flowtable.Closed {
+		a.cancel(entry)
+		a.fill(now)
+	}
+}
+
+// handleBounce passes a packet on that the server did not take.
+func (a *Agent) handleBounce(p packet.Packet, raw []byte, now time.Time) {
+	a.counts.Bounced.Add(1)
+	var e steer.Envelope
+	known := a.tags.recall(p.Tag, &e)
+	a.config.Codec.ClearMarks(raw)
+	flow := p.SentFlow()
+	if entry := a.table.Get(flow); entry != nil {
+		a.cancel(entry)
+		a.table.Remove(flow)
+		a.fill(now)
+	}
+	if !known {
+		a.counts.Lost.Add(1)
+		return
+	}
+	if p.Syn {
+		if a.passSyn(&e, flow, nil, raw) {
+			a.lost(&e, flow)
+		}
+		return
+	}
+	a.notHeld(&e, flow, nil, raw)
+}
+
+func (a *Agent) sendToCaller(raw []byte, flow packet.Flow) {
+	a.send(raw, netip.AddrPortFrom(flow.Caller().Addr(), a.config.CallerPort))
+}
--- /dev/null
+++ b/internal/packetagent/packetagent.go
@@ -0,0 +1,165 @@
+// Package packetagent carries packet flows between balancers and the backend
+// server on its VM. It holds the truth about the server's flows, and decides
+// which new flows and which requests the server gets, and when.
+package packetagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/dispatch"
+	"github.com/bergamotgw/bergamotgw/internal/flowtable"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/servicetime"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Sizes of datagrams and buffers.
+const (
+	maxDatagramBytes  = 2048
+	socketBufferBytes = 1 << 20
+)
+
+// Config are the parameters of an agent.
+type Config struct {
+	// Service is the numeric identity of the server's service.
+	Service uint32
+	// Relay exchanges datagrams with balancers and other agents.
+	Relay netip.AddrPort
+	// Outbound takes packets from the server.
+	Outbound netip.AddrPort
+	// Server takes packets of callers.
+	Server netip.AddrPort
+	// CallerPort is the port to which packets for callers are sent.
+	CallerPort uint16
+	// MaxFlow is the age after which a flow may be forgotten.
+	MaxFlow time.Duration
+	// Codec reads and marks packets.
+	Codec packet.Codec
+	// Clock measures time.
+	Clock clockwork.Clock
+	// Log takes events.
+	Log zerolog.Logger
+}
+
+// Agent carries packet flows. It is safe for concurrent use.
+type Agent struct {
+	config   Config
+	relay    *net.UDPConn
+	outbound *net.UDPConn
+	started  time.Time
+	counts   Counts
+
+	mu      sync.Mutex
+	table   *flowtable.Table
+	queue   dispatch.Queue
+	service servicetime.Estimator
+	// running holds the requests that the server works on.
+	running map[packet.Flow]running
+	// expected holds when flows were admitted whose first request has not come.
+	expected map[packet.Flow]time.Time
+	// tags remember the envelopes of packets that the server may bounce.
+	tags tagRing
+	// slots is how many requests the server runs at a time; 0 until a balancer told.
+	slots int
+	// unanswered is when the first packet since the server's latest one was
+	// delivered; zero if none was.
+	unanswered time.Time
+	// probed is when a new flow was last offered to a silent server.
+	probed time.Time
+	// listeners holds when each balancer last delivered a packet or asked for a report.
+	listeners map[netip.AddrPort]time.Time
+	// reported is the load that the listeners know.
+	reported   steer.Load
+	reportedAt time.Time
+	rate       rateMeter
+	leaving    bool
+	// active counts the flows with recent traffic as of the latest sweep.
+	active int
+}
+
+// running is a request that the server works on.
+type running struct {
+	delivered time.Time
+	// concurrent counts the requests at the server then, this one included.
+	concurrent int
+}
+
+// NewAgent opens the sockets of an agent.
+func NewAgent(c Config) (*Agent, error) {
+	relay, err := listen(c.Relay)
+	if err != nil {
+		return nil, merry.Prepend(err, "relay")
+	}
+	outbound, err := listen(c.Outbound)
+	if err != nil {
+		_ = relay.Close()
+		return nil, merry.Prepend(err, "outbound")
+	}
+	now := c.Clock.Now()
+	return &Agent{
+		config:    c,
+		relay:     relay,
+		outbound:  outbound,
+		started:   now,
+		table:     flowtable.NewTable(),
+		running:   make(map[packet.Flow]running),
+		expected:  make(map[packet.Flow]time.Time),
+		listeners: make(map[netip.AddrPort]time.Time),
+		rate:      rateMeter{since: now},
+	}, nil
+}
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return c, merry.Wrap(c.SetReadBuffer(socketBufferBytes))
+}
+
+// Run carries packets until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(a.readRelay)
+	wg.Go(a.readOutbound)
+	wg.Go(func() { a.maintain(ctx) })
+	<-ctx.Done()
+	_ = a.relay.Close()
+	_ = a.outbound.Close()
+	wg.Wait()
+}
+
+// Leave stops taking new flows and tells the balancers.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	a.reportAll(a.config.Clock.Now())
+}
+
+// Busy returns the number of requests that wait or run.
+func (a *Agent) Busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.running) + a.queue.Len()
+}
+
+// complete reports whether every open flow of the server is in the table: the
+// agent has run for as long as a flow may last.
+func (a *Agent) complete(now time.Time) bool {
+	return now.Sub(a.started) > a.config.MaxFlow
+}
+
+func (a *Agent) send(raw []byte, to netip.AddrPort) {
+	if _, err := a.relay.WriteToUDPAddrPort(raw, to); err != nil {
+		a.counts.SendFailed.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/packetagent/requests.go
@@ -0,0 +1,193 @@
+package packetagent
+
+import (
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/dispatch"
+	"github.com/bergamotgw/bergamotgw/internal/flowtable"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Parameters of the dispatch to the server.
+const (
+	// ahead is how many requests more than its slots the server gets, so that a
+	// slot never waits for the agent.
+	ahead = 1
+	// defaultSlots is used until a balancer told the number.
+	defaultSlots = 2
+	// expectedFor is how long an admitted flow counts as a request that will come:
+	// a few round trips to a caller.
+	expectedFor = 100 * time.Millisecond
+	// overdueFactor times the service time, but at least minOverdue, is how long a
+	// request holds its place at the server; later its answer is not expected.
+	overdueFactor = 8
+	minOverdue    = 600 * time.Millisecond
+)
+
+// slotCount returns the slots of the server.
+func (a *Agent) slotCount() int {
+	if a.slots == 0 {
+		return defaultSlots
+	}
+	return a.slots
+}
+
+// outstanding counts the requests that are expected, wait or run.
+func (a *Agent) outstanding(now time.Time) int {
+	for f, at := range a.expected {
+		if now.Sub(at) > expectedFor {
+			delete(a.expected, f)
+		}
+	}
+	return len(a.expected) + a.queue.Len() + len(a.running)
+}
+
+// delay returns the expected wait of a further request, and whether a new flow
+// may be admitted without asking other candidates.
+func (a *Agent) delay(now time.Time) (time.Duration, bool) {
+	if a.leaving || a.silent(now) {
+		return silentDelay, false
+	}
+	slots := a.slotCount()
+	over := a.outstanding(now) + 1 - slots
+	if over <= 0 {
+		return 0, true
+	}
+	return time.Duration(over) * a.service.Mean() / time.Duration(slots), over <= ahead
+}
+
+// deliverPacket gives a packet of an open flow to the server, or holds it if it
+// begins a request and the server has enough.
+func (a *Agent) deliverPacket(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
+	if entry.Held && len(p.Data) > 0 {
+		a.queue.Add(entry.Flow, p, rest)
+		return
+	}
+	if entry.StartsRequest(p) {
+		delete(a.expected, entry.Flow)
+		entry.Requests++
+		a.rate.add(now)
+		if len(a.running) >= a.slotCount()+ahead && a.hold(entry, p, rest, now) {
+			return
+		}
+		a.run(entry, now)
+	}
+	entry.Sent(p, now)
+	if p.Reset {
+		a.cancel(entry)
+	}
+	a.deliver(e, rest, now)
+}
+
+// hold keeps a request until the server has room.
+func (a *Agent) hold(entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) bool {
+	r := &dispatch.Request{Flow: entry.Flow, Class: entry.Class, Arrived: now}
+	if !a.queue.Push(r, p, rest) {
+		return false
+	}
+	a.counts.Held.Add(1)
+	entry.Held, entry.Seen = true, now
+	return true
+}
+
+func (a *Agent) run(entry *flowtable.Entry, now time.Time) {
+	entry.Running, entry.Delivered = true, now
+	a.running[entry.Flow] = running{delivered: now, concurrent: len(a.running) + 1}
+}
+
+// cancel forgets the request of a flow that its caller has reset.
+func (a *Agent) cancel(entry *flowtable.Entry) {
+	delete(a.running, entry.Flow)
+	delete(a.expected, entry.Flow)
+	a.queue.Drop(entry.Flow)
+	entry.Running, entry.Held = false, false
+}
+
+// finish notes the answer to a request and gives the server the next one.
+func (a *Agent) finish(entry *flowtable.Entry, now time.Time) {
+	a.counts.Answered.Add(1)
+	if r, ok := a.running[entry.Flow]; ok {
+		a.service.Observe(now.Sub(r.delivered), r.concurrent, a.slotCount())
+		delete(a.running, entry.Flow)
+	}
+	entry.Running = false
+	a.fill(now)
+}
+
+// fill gives the server requests that wait, while it has room.
+func (a *Agent) fill(now time.Time) {
+	for len(a.running) < a.slotCount()+ahead {
+		r := a.queue.Next(now, a.service.Mean())
+		if r == nil {
+			return
+		}
+		entry := a.table.Get(r.Flow)
+		if entry == nil {
+			continue
+		}
+		entry.Held = false
+		a.run(entry, now)
+		r.Packets(func(raw []byte) {
+			if p, ok := a.config.Codec.Parse(raw); ok {
+				entry.Sent(p, now)
+			}
+			a.write(raw, now)
+		})
+	}
+}
+
+// expire drops requests whose caller has given up, and stops counting those
+// that the server has had for too long.
+func (a *Agent) expire(now time.Time) {
+	for r := a.queue.Expired(now); r != nil; r = a.queue.Expired(now) {
+		a.counts.Expired.Add(1)
+		a.config.Log.Warn().Str("event", "requestExpired").Stringer("flow", r.Flow).
+			Dur("waited", now.Sub(r.Arrived)).Int("running", len(a.running)).Send()
+		if entry := a.table.Get(r.Flow); entry != nil {
+			entry.Held = false
+		}
+	}
+	overdue := max(overdueFactor*a.service.Mean(), minOverdue)
+	for f, r := range a.running {
+		if now.Sub(r.delivered) > overdue {
+			delete(a.running, f)
+			if entry := a.table.Get(f); entry != nil {
+				entry.Running = false
+			}
+		}
+	}
+	a.fill(now)
+}
+
+// rateMeter measures the rate of requests over the last seconds.
+type rateMeter struct {
+	since time.Time
+	count int
+	rate  float32
+}
+
+// rateWindow is the length of a measurement.
+const rateWindow = time.Second
+
+// rateGain is the weight of the newest window.
+const rateGain = 0.5
+
+func (m *rateMeter) add(now time.Time) {
+	m.turn(now)
+	m.count++
+}
+
+func (m *rateMeter) turn(now time.Time) {
+	elapsed := now.Sub(m.since)
+	if elapsed < rateWindow {
+		return
+	}
+	m.rate += rateGain * (float32(m.count)/float32(elapsed.Seconds()) - m.rate)
+	m.since, m.count = now, 0
+}
+
+func (m *rateMeter) perSecond(now time.Time) float32 {
+	m.turn(now)
+	return m.rate
+}
--- /dev/null
+++ b/internal/packetbalancer/counts.go
@@ -0,0 +1,32 @@
+package packetbalancer
+
+import "sync/atomic"
+
+// Counts are totals since the start.
+type Counts struct {
+	// Cached counts packets forwarded to the agent in the cache.
+	Cached atomic.Uint64
+	// Placed counts new flows offered to agents.
+	Placed atomic.Uint64
+	// Walks counts packets of unknown flows sent in search of their agent.
+	Walks atomic.Uint64
+	// Returned counts packets that came back from an agent without the flow.
+	Returned atomic.Uint64
+	// Lost counts packets whose flow no agent holds.
+	Lost atomic.Uint64
+	// Refused counts new flows that were reset.
+	Refused atomic.Uint64
+	// NoRoute counts packets to addresses without a route.
+	NoRoute atomic.Uint64
+	// NoServer counts packets of services without a server.
+	NoServer atomic.Uint64
+	// Malformed counts datagrams that could not be decoded.
+	Malformed atomic.Uint64
+	// SendFailed counts datagrams that the kernel did not take.
+	SendFailed atomic.Uint64
+}
+
+// Counts returns the live counters.
+func (b *Balancer) Counts() *Counts {
+	return &b.counts
+}
--- /dev/null
+++ b/internal/packetbalancer/forward.go
@@ -0,0 +1,256 @@
+package packetbalancer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// maxAttempts bounds the count of searches for one flow.
+const maxAttempts = 250
+
+// readFront forwards packets of callers.
+func (b *Balancer) readFront() {
+	buf := make([]byte, steer.MaxLen+maxDatagramBytes)
+	for {
+		n, _, err := b.front.ReadFromUDPAddrPort(buf[steer.MaxLen:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			b.counts.Malformed.Add(1)
+			continue
+		}
+		b.lastPacket.Store(int64(b.config.Clock.Since(b.started)))
+		b.forward(buf[:steer.MaxLen+n])
+	}
+}
+
+// forward routes one packet, which begins at steer.MaxLen in buf.
+func (b *Balancer) forward(buf []byte) {
+	p, ok := b.config.Codec.Parse(buf[steer.MaxLen:])
+	if !ok || p.Bounced {
+		b.counts.Malformed.Add(1)
+		return
+	}
+	flow := p.SentFlow()
+	route, ok := b.config.Catalog().Route(flow.Service())
+	if !ok {
+		b.noRoute(p, flow)
+		return
+	}
+	if p.Syn && !p.Ack {
+		b.place(buf, p, flow, route)
+		return
+	}
+	if at, ok := b.cache.Get(flow); ok && at.agent.IsValid() {
+		b.counts.Cached.Add(1)
+		b.cache.Put(flow, at)
+		e := b.envelope(route)
+		e.Cached = true
+		e.Append(steer.Candidate{Agent: at.agent})
+		b.send(&e, buf)
+		return
+	}
+	b.walk(buf, flow, route)
+}
+
+// noRoute refuses new flows to addresses without a route.
+func (b *Balancer) noRoute(p packet.Packet, flow packet.Flow) {
+	b.counts.NoRoute.Add(1)
+	if p.Syn && b.config.Catalog().Complete() {
+		b.reset(flow, p.AckSeq)
+	}
+}
+
+func (b *Balancer) envelope(route *catalog.Route) steer.Envelope {
+	return steer.Envelope{
+		Kind:     steer.Forward,
+		Class:    route.Class,
+		Balancer: b.config.Back,
+		Best:     steer.NoBest,
+	}
+}
+
+// place offers a new flow to the agents with the shortest expected delay. A
+// copy of a SYN goes first to the agent that has it, unless that agent is silent.
+func (b *Balancer) place(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route) {
+	now := b.config.Clock.Now()
+	at, known := b.cache.Get(flow)
+	e := b.envelope(route)
+	b.mu.Lock()
+	hash := b.selection.Hash(flow)
+	service := route.Select(hash)
+	e.Service = catalog.ServiceID(service)
+	if known && at.agent.IsValid() && !b.selection.Suspect(at.agent, now) {
+		e.Append(steer.Candidate{Agent: at.agent})
+		e.Cached = true
+	}
+	b.selection.Choices(&e, hash, service, now)
+	if e.Count > 0 {
+		b.selection.Placed(e.Candidates[0].Agent, now)
+	}
+	b.mu.Unlock()
+	if e.Count == 0 {
+		b.counts.NoServer.Add(1)
+		b.refuse(flow, p, service)
+		return
+	}
+	b.counts.Placed.Add(1)
+	b.cache.Put(flow, place{agent: e.Candidates[0].Agent})
+	b.send(&e, buf)
+}
+
+// walk sends a packet of an unknown flow past the agents that may hold it.
+func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route) {
+	now := b.config.Clock.Now()
+	at, _ := b.cache.Get(flow)
+	e := b.envelope(route)
+	b.mu.Lock()
+	hash := b.selection.Hash(flow)
+	service := route.Select(hash)
+	e.Service = catalog.ServiceID(service)
+	b.selection.Walk(&e, hash, service, int(at.attempts), now)
+	for _, s := range route.Shares {
+		if s.Service != service {
+			b.selection.Walk(&e, hash, s.Service, int(at.attempts), now)
+		}
+	}
+	b.mu.Unlock()
+	if e.Count == 0 {
+		b.counts.NoServer.Add(1)
+		return
+	}
+	b.counts.Walks.Add(1)
+	b.cache.Put(flow, place{attempts: min(at.attempts+1, maxAttempts)})
+	b.send(&e, buf)
+}
+
+// send puts the envelope in front of the packet and sends both.
+func (b *Balancer) send(e *steer.Envelope, buf []byte) {
+	start := steer.MaxLen - e.Len()
+	e.Put(buf[start:])
+	b.Send(buf[start:], e.Candidates[0].Agent)
+}
+
+func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service string) {
+	b.counts.Refused.Add(1)
+	b.config.Log.Warn().Str("event", "flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", "noServer").Send()
+	b.reset(flow, p.AckSeq)
+}
+
+// reset tells a caller that its flow is not served.
+func (b *Balancer) reset(flow packet.Flow, seq uint32) {
+	var raw [packet.ResetLen]byte
+	n := b.config.Codec.PutReset(raw[:], flow, seq)
+	to := netip.AddrPortFrom(flow.Caller().Addr(), b.config.Front.Port())
+	if _, err := b.front.WriteToUDPAddrPort(raw[:n], to); err != nil {
+		b.counts.SendFailed.Add(1)
+	}
+}
+
+// readBack takes what agents and other balancers send.
+func (b *Balancer) readBack(ctx context.Context) {
+	buf := make([]byte, steer.MaxLen+maxDatagramBytes)
+	for {
+		n, from, err := b.back.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			b.counts.Malformed.Add(1)
+			continue
+		}
+		b.handleBack(ctx, buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (b *Balancer) handleBack(ctx context.Context, raw []byte, from netip.AddrPort) {
+	kind, ok := steer.KindOf(raw)
+	switch {
+	case ok && kind == steer.Report:
+		b.handleReport(raw, from)
+	case ok && kind == steer.Return:
+		b.handleReturn(raw, from)
+	case ok && kind == steer.Lost:
+		b.handleLost(raw)
+	case ok && kind == steer.Digest:
+		b.config.Digest(ctx, raw, from)
+	default:
+		b.counts.Malformed.Add(1)
+	}
+}
+
+// handleReport takes the load of an agent, and caches the flow that it holds.
+func (b *Balancer) handleReport(raw []byte, from netip.AddrPort) {
+	load, flow, ok := steer.ParseReport(raw)
+	if !ok {
+		b.counts.Malformed.Add(1)
+		return
+	}
+	b.mu.Lock()
+	b.selection.Heard(from, load, b.config.Clock.Now())
+	b.mu.Unlock()
+	if flow != (packet.Flow{}) {
+		b.cache.Put(flow, place{agent: from, confirmed: true})
+	}
+}
+
+// handleReturn searches the agent for a packet that went to the wrong one.
+func (b *Balancer) handleReturn(raw []byte, from netip.AddrPort) {
+	var e steer.Envelope
+	rest, ok := e.Parse(raw)
+	if !ok {
+		b.counts.Malformed.Add(1)
+		return
+	}
+	p, ok := b.config.Codec.Parse(rest)
+	if !ok {
+		b.counts.Malformed.Add(1)
+		return
+	}
+	b.counts.Returned.Add(1)
+	flow := p.SentFlow()
+	at, ok := b.cache.Get(flow)
+	if ok && at.agent == from {
+		at = place{}
+		b.cache.Put(flow, at)
+	}
+	buf := make([]byte, steer.MaxLen+len(rest))
+	copy(buf[steer.MaxLen:], rest)
+	b.forwardReturned(buf, flow, at)
+}
+
+// forwardReturned sends a returned packet to where the flow was found since, or
+// in search of it.
+func (b *Balancer) forwardReturned(buf []byte, flow packet.Flow, at place) {
+	route, ok := b.config.Catalog().Route(flow.Service())
+	if !ok {
+		b.counts.NoRoute.Add(1)
+		return
+	}
+	if at.agent.IsValid() {
+		e := b.envelope(route)
+		e.Cached = true
+		e.Append(steer.Candidate{Agent: at.agent})
+		b.send(&e, buf)
+		return
+	}
+	b.walk(buf, flow, route)
+}
+
+// handleLost notes that no agent holds a flow.
+func (b *Balancer) handleLost(raw []byte) {
+	flow, complete, ok := steer.ParseLost(raw)
+	if !ok {
+		b.counts.Malformed.Add(1)
+		return
+	}
+	b.counts.Lost.Add(1)
+	b.config.Log.Info().Str("event", "flowNotFound").Stringer("flow", flow).Bool("allAsked", complete).Send()
+}
--- /dev/null
+++ b/internal/packetbalancer/packetbalancer.go
@@ -0,0 +1,168 @@
+// Package packetbalancer forwards the packets of callers to the agents that
+// hold their flows. What it remembers of flows is a cache: agents hold the truth.
+package packetbalancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/recent"
+	"github.com/bergamotgw/bergamotgw/internal/selection"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Bounds of the cache and of the work at intervals.
+const (
+	// cacheLimit bounds each of the two generations of the cache, in flows.
+	cacheLimit = 200_000
+	// pingInterval is the pause between rounds of pings.
+	pingInterval = 250 * time.Millisecond
+	// maxDatagramBytes is the longest datagram that is read.
+	maxDatagramBytes = 2048
+	// socketBufferBytes is the size of the kernel's receive buffers.
+	socketBufferBytes = 1 << 20
+)
+
+// Config are the parameters of a balancer.
+type Config struct {
+	// Front takes the packets of callers.
+	Front netip.AddrPort
+	// Back exchanges datagrams with agents and other balancers.
+	Back netip.AddrPort
+	// Zone is the balancer's availability zone.
+	Zone string
+	// AgentPort is the port at which agents take packets.
+	AgentPort uint16
+	// MaxFlow is the age after which a flow may be forgotten.
+	MaxFlow time.Duration
+	// Codec reads and marks packets.
+	Codec packet.Codec
+	// Catalog returns the newest catalog.
+	Catalog func() *catalog.Catalog
+	// Digest takes digests of other balancers.
+	Digest func(ctx context.Context, raw []byte, from netip.AddrPort)
+	// Clock measures time.
+	Clock clockwork.Clock
+	// Log takes events.
+	Log zerolog.Logger
+}
+
+// Balancer forwards packets. It is safe for concurrent use.
+type Balancer struct {
+	config Config
+	front  *net.UDPConn
+	back   *net.UDPConn
+	cache  *recent.Map[packet.Flow, place]
+	counts Counts
+	// lastPacket is when the latest packet of a caller came, in nanoseconds since
+	// started.
+	lastPacket atomic.Int64
+	started    time.Time
+
+	mu        sync.Mutex
+	selection *selection.Selection
+}
+
+// place is what the cache holds of a flow.
+type place struct {
+	// agent holds the flow; unset if it is being searched.
+	agent netip.AddrPort
+	// attempts counts searches since the flow was last found.
+	attempts uint8
+	// confirmed is true once the agent reported that it holds the flow.
+	confirmed bool
+}
+
+// NewBalancer opens the sockets of a balancer.
+func NewBalancer(c Config) (*Balancer, error) {
+	front, err := listen(c.Front)
+	if err != nil {
+		return nil, merry.Prepend(err, "front")
+	}
+	back, err := listen(c.Back)
+	if err != nil {
+		_ = front.Close()
+		return nil, merry.Prepend(err, "back")
+	}
+	return &Balancer{
+		config:    c,
+		front:     front,
+		back:      back,
+		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
+		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow),
+		started:   c.Clock.Now(),
+	}, nil
+}
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return c, merry.Wrap(c.SetReadBuffer(socketBufferBytes))
+}
+
+// Run forwards until the context ends.
+func (b *Balancer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { b.readFront() })
+	wg.Go(func() { b.readBack(ctx) })
+	wg.Go(func() { b.pingAgents(ctx) })
+	<-ctx.Done()
+	_ = b.front.Close()
+	_ = b.back.Close()
+	wg.Wait()
+}
+
+// SetServers takes the servers of a new catalog.
+func (b *Balancer) SetServers(s catalog.Servers) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.selection.Update(s, b.config.Clock.Now())
+}
+
+// Idle returns the time since the latest packet of a caller.
+func (b *Balancer) Idle() time.Duration {
+	return b.config.Clock.Since(b.started) - time.Duration(b.lastPacket.Load())
+}
+
+// Send sends a datagram to another balancer.
+func (b *Balancer) Send(raw []byte, to netip.AddrPort) {
+	if _, err := b.back.WriteToUDPAddrPort(raw, to); err != nil {
+		b.counts.SendFailed.Add(1)
+	}
+}
+
+// pingAgents asks agents for reports that have not sent one lately.
+func (b *Balancer) pingAgents(ctx context.Context) {
+	var ping [2]byte
+	n := steer.PutPing(ping[:])
+	var stale []netip.AddrPort
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.config.Clock.After(pingInterval):
+		}
+		now := b.config.Clock.Now()
+		b.mu.Lock()
+		stale = b.selection.Stale(now.Add(-pingInterval), now, stale[:0])
+		for _, a := range stale {
+			b.selection.Asked(a, now)
+		}
+		b.mu.Unlock()
+		for _, a := range stale {
+			b.Send(ping[:n], a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/packetcli/balancer.go
@@ -0,0 +1,116 @@
+package packetcli
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/directory"
+	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
+	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
+	"github.com/bergamotgw/bergamotgw/internal/readiness"
+	"github.com/bergamotgw/bergamotgw/platform"
+)
+
+// Timing of the end of a balancer.
+const (
+	// minLeave is how long the fabric may take to see that a balancer leaves: two
+	// probes, half a second apart, and some slack.
+	minLeave = 1500 * time.Millisecond
+	// idleLeave is how long no packet may come before the balancer stops.
+	idleLeave = 400 * time.Millisecond
+	// leaveReserve is the part of the grace time that is left for the exit.
+	leaveReserve = time.Second
+	// leavePoll is the pause between looks at the traffic.
+	leavePoll = 100 * time.Millisecond
+)
+
+// balancer is a balancer process.
+type balancer struct {
+	settings  packetsettings.Balancer
+	clock     clockwork.Clock
+	log       zerolog.Logger
+	forward   *packetbalancer.Balancer
+	directory *directory.Directory
+	ready     *readiness.Server
+	leaving   atomic.Bool
+}
+
+func newBalancer(s packetsettings.Balancer, l zerolog.Logger) (*balancer, error) {
+	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l}
+	store := platform.NewStore(s.Platform, s.Back.Addr())
+	b.directory = directory.NewDirectory(directory.Config{
+		Self:  s.Back,
+		Peer:  s.Peer,
+		Seeds: lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
+		Source: directory.Source{
+			Routes:      store.Routes,
+			WatchRoutes: store.WatchRoutes,
+			Servers:     store.Servers,
+		},
+		Send:    func(raw []byte, to netip.AddrPort) { b.forward.Send(raw, to) },
+		Changed: func(c *catalog.Catalog) { b.forward.SetServers(c.Servers) },
+		Clock:   b.clock,
+		Log:     l,
+	})
+	var err error
+	b.forward, err = packetbalancer.NewBalancer(packetbalancer.Config{
+		Front:     s.Front,
+		Back:      s.Back,
+		Zone:      s.Zone,
+		AgentPort: s.AgentPort,
+		MaxFlow:   s.MaxFlow(),
+		Codec:     platform.PacketCodec(),
+		Catalog:   b.directory.Catalog,
+		Digest:    b.directory.HandleDigest,
+		Clock:     b.clock,
+		Log:       l,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.ready, err = readiness.NewServer(s.Ready, func() bool {
+		return !b.leaving.Load() && b.directory.Catalog().Complete()
+	})
+	return b, err
+}
+
+// Run forwards until the context ends, and then until the fabric has stopped
+// sending packets.
+func (b *balancer) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { b.forward.Run(serving) })
+	wg.Go(func() { b.directory.Run(serving) })
+	wg.Go(func() { b.ready.Run(serving) })
+	b.log.Info().Str("event", "balancerStarted").Stringer("front", b.settings.Front).Stringer("back", b.settings.Back).Send()
+	<-ctx.Done()
+	b.leaving.Store(true)
+	b.directory.Leave()
+	b.log.Info().Str("event", "leaveStarted").Send()
+	b.waitIdle()
+	stop()
+	wg.Wait()
+	b.log.Info().Str("event", "balancerStopped").Send()
+	return nil
+}
+
+func (b *balancer) waitIdle() {
+	started := b.clock.Now()
+	limit := b.settings.Grace() - leaveReserve
+	for {
+		elapsed := b.clock.Since(started)
+		if elapsed >= limit || elapsed >= minLeave && b.forward.Idle() >= idleLeave {
+			return
+		}
+		<-b.clock.After(leavePoll)
+	}
+}
--- /dev/null
+++ b/internal/packetcli/packetcli.go
@@ -0,0 +1,118 @@
+// Package packetcli is the command line of the bergamotflow program.
+package packetcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// commands are the commands of the program.
+type commands struct {
+	Balancer balancerCommand `cmd:"" help:"Run a balancer of packet flows."`
+	Agent    agentCommand    `cmd:"" help:"Run an agent of packet flows beside a backend server."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file, and print every fault."`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	exit := exitOK
+	parser, err := kong.New(&c,
+		kong.Name("bergamotflow"),
+		kong.Description("Carries packet flows, whose transport runs between caller and backend server."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exit = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		parser.FatalIfErrorf(err)
+		return max(exit, exitFailed)
+	}
+	if ctx.Command() == "" {
+		return exit
+	}
+	ctx.BindTo(stdout, (*io.Writer)(nil))
+	if err := ctx.Run(); err != nil {
+		_, _ = fmt.Fprintln(stderr, "bergamotflow:", err)
+		return exitFailed
+	}
+	return exit
+}
+
+// process is one process of the system.
+type process interface {
+	// Run serves until the context ends, and then leaves.
+	Run(ctx context.Context) error
+}
+
+// run loads the settings of a process and serves it under signals: SIGTERM and
+// SIGINT make it leave, SIGHUP reads the log level again.
+func run[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, build func(T, zerolog.Logger) (process, error)) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	s, err := packetsettings.Load[T](path)
+	if err != nil {
+		return err
+	}
+	setLevel(common(s).LogLevel)
+	log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", common(s).Name).Logger()
+	p, err := build(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(path, common, log)
+				continue
+			}
+			leave()
+		}
+	}
+}
+
+func reload[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, log zerolog.Logger) {
+	s, err := packetsettings.Load[T](path)
+	if err != nil {
+		log.Error().Str("event", "reloadFailed").Err(err).Send()
+		return
+	}
+	setLevel(common(s).LogLevel)
+	log.Info().Str("event", "reloaded").Send()
+}
+
+func setLevel(name string) {
+	level, err := zerolog.ParseLevel(name)
+	if err != nil || name == "" {
+		level = zerolog.InfoLevel
+	}
+	zerolog.SetGlobalLevel(level)
+}
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -75,3 +75,11 @@
 	m.young = make(map[K]V)
 	m.turned = now
 }
+
+// Delete forgets a value.
+func (m *Map[K, V]) Delete(key K) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.young, key)
+	delete(m.old, key)
+}
--- /dev/null
+++ b/internal/selection/selection.go
@@ -0,0 +1,301 @@
+// Package selection decides which agents may take a new flow, and in which
+// order agents are asked for the holder of an unknown one.
+package selection
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Parameters of the selection.
+const (
+	// MaxChoices is how many agents a new flow is offered to at most.
+	MaxChoices = 5
+	// ranked is how many agents, by rank of the flow, are compared by load; the
+	// holder of an unknown flow is searched in the same order.
+	ranked = 8
+	// localShare is the part of the response-time objective that a place in the
+	// caller's zone may cost.
+	localShare = 0.04
+	// usualService stands for a service time that nobody knows yet.
+	usualService = 20 * time.Millisecond
+	// coldFactor is how much slower a server counts while it warms up.
+	coldFactor = 1.6
+	// lapseGrace is how long a ready server that is no longer listed stays usable:
+	// entries that lapsed in an outage return within 2 s of its end.
+	lapseGrace = 1800 * time.Millisecond
+	// suspectAfter is how long an agent may leave a message unanswered; several
+	// round trips between zones and turns of a small processor.
+	suspectAfter = 150 * time.Millisecond
+	// maxUtilization bounds the queueing term of the score.
+	maxUtilization = 0.97
+)
+
+// Agent is what a balancer knows of one agent and its backend server.
+type Agent struct {
+	// Address is where the agent takes packets.
+	Address netip.AddrPort
+	// Server is the entry of its server.
+	Server catalog.Server
+	// Load is the latest report; the zero value if none came.
+	Load steer.Load
+	// Heard is when the latest report came.
+	Heard time.Time
+	// Asked is when the first message since the latest report was sent.
+	Asked time.Time
+	// Placed counts the flows placed since the latest report.
+	Placed int
+	// Missing is when the server was first missing from the list; zero if listed.
+	Missing time.Time
+
+	hash uint64
+	warm time.Time
+}
+
+// Selection keeps the agents of all services. It is not safe for concurrent use.
+type Selection struct {
+	zone   string
+	port   uint16
+	retain time.Duration
+	ranker rendezvous.Ranker
+	// agents holds listed servers, and unlisted ones for the retention period.
+	agents    map[netip.AddrPort]*Agent
+	byService map[string][]*Agent
+	scored    []scored
+}
+
+type scored struct {
+	agent *Agent
+	score float64
+}
+
+// NewSelection returns an empty selection for a balancer in a zone. Agents
+// listen at the given port, and are remembered for the retention period after
+// their server was last listed.
+func NewSelection(zone string, agentPort uint16, retain time.Duration) *Selection {
+	return &Selection{
+		zone:      zone,
+		port:      agentPort,
+		retain:    retain,
+		ranker:    rendezvous.NewRanker(nil),
+		agents:    make(map[netip.AddrPort]*Agent),
+		byService: make(map[string][]*Agent),
+	}
+}
+
+// Update takes a new reading of the servers.
+func (s *Selection) Update(servers catalog.Servers, now time.Time) {
+	listed := make(map[netip.AddrPort]bool, len(servers.List))
+	for _, v := range servers.List {
+		address := netip.AddrPortFrom(v.Address, s.port)
+		listed[address] = true
+		s.list(address, v, now)
+	}
+	for address, a := range s.agents {
+		switch {
+		case listed[address]:
+		case a.Missing.IsZero():
+			a.Missing = now
+		case now.Sub(a.Missing) > s.retain:
+			delete(s.agents, address)
+		}
+	}
+	s.group()
+}
+
+func (s *Selection) list(address netip.AddrPort, v catalog.Server, now time.Time) {
+	a := s.agents[address]
+	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
+		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String()))}
+		s.agents[address] = a
+	}
+	a.Server, a.Missing = v, time.Time{}
+	a.warm = now.Add(v.Warmup)
+}
+
+func (s *Selection) group() {
+	clear(s.byService)
+	for _, a := range s.agents {
+		s.byService[a.Server.Service] = append(s.byService[a.Server.Service], a)
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *Agent) int { return a.Address.Compare(b.Address) })
+	}
+}
+
+// Heard takes a report. Reports of unknown agents are ignored.
+func (s *Selection) Heard(address netip.AddrPort, l steer.Load, now time.Time) {
+	if a := s.agents[address]; a != nil {
+		a.Load, a.Heard, a.Asked, a.Placed = l, now, time.Time{}, 0
+	}
+}
+
+// Asked notes a message to an agent that it answers with a report.
+func (s *Selection) Asked(address netip.AddrPort, now time.Time) {
+	if a := s.agents[address]; a != nil && a.Asked.IsZero() {
+		a.Asked = now
+	}
+}
+
+// Placed notes that a flow was offered to an agent.
+func (s *Selection) Placed(address netip.AddrPort, now time.Time) {
+	if a := s.agents[address]; a != nil {
+		a.Placed++
+		s.Asked(address, now)
+	}
+}
+
+// Suspect reports whether an agent leaves messages unanswered.
+func (s *Selection) Suspect(address netip.AddrPort, now time.Time) bool {
+	a := s.agents[address]
+	return a != nil && a.suspect(now)
+}
+
+func (a *Agent) suspect(now time.Time) bool {
+	return !a.Asked.IsZero() && now.Sub(a.Asked) > suspectAfter
+}
+
+// usable reports whether the agent may be offered new flows.
+func (a *Agent) usable(now time.Time) bool {
+	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving {
+		return false
+	}
+	return a.Missing.IsZero() || now.Sub(a.Missing) < lapseGrace
+}
+
+// Stale appends the agents without a report since the given time to list.
+func (s *Selection) Stale(since, now time.Time, list []netip.AddrPort) []netip.AddrPort {
+	for _, a := range s.agents {
+		if a.Heard.Before(since) && (a.usable(now) || a.Missing.IsZero()) {
+			list = append(list, a.Address)
+		}
+	}
+	return list
+}
+
+// Hash returns the hash of a flow that ranks agents and selects shares of a route.
+func (s *Selection) Hash(f packet.Flow) uint64 {
+	var b [packet.FlowLen]byte
+	f.Put(b[:])
+	return s.ranker.Hash(b[:])
+}
+
+// Choices adds the agents that a new flow of the service should be offered to,
+// best first.
+func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
+	s.scored = s.scored[:0]
+	for _, a := range s.byService[service] {
+		if a.usable(now) {
+			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+		}
+	}
+	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	s.scored = s.scored[:min(len(s.scored), ranked)]
+	perFlow := s.requestsPerFlow()
+	for i := range s.scored {
+		c := &s.scored[i]
+		c.score = s.delay(c.agent, e.Class, perFlow, now)
+	}
+	s.sort(func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	for _, c := range s.scored[:min(len(s.scored), MaxChoices)] {
+		e.Append(candidate(c.agent))
+	}
+}
+
+// delay scores an agent for a new flow: the expected time to an answer, in
+// seconds, from the requests that it has and from those that its flows will bring.
+func (s *Selection) delay(a *Agent, class steer.Class, perFlow float64, now time.Time) float64 {
+	service := a.service(now)
+	slots := float64(max(a.Server.Slots, 1))
+	waiting := float64(a.Load.Outstanding) + float64(a.Placed) + 1 - slots
+	delay := service
+	if waiting > 0 {
+		delay += waiting * service / slots
+	}
+	demand := max(float64(a.Load.RequestsPerSecond), (float64(a.Load.Flows)+float64(a.Placed))*perFlow)
+	utilization := min(demand*service/slots, maxUtilization)
+	delay += service * utilization * utilization / (1 - utilization)
+	if a.Server.Zone != s.zone {
+		delay += localShare * float64(class.TargetMillis) / 1000
+	}
+	switch {
+	case a.suspect(now):
+		delay += suspectPenalty
+	case a.Load.State == steer.Silent:
+		delay += silentPenalty
+	}
+	return delay
+}
+
+// Penalties, in seconds, that put agents behind all others that answer.
+const (
+	silentPenalty  = 100
+	suspectPenalty = 200
+)
+
+func (a *Agent) service(now time.Time) float64 {
+	service := a.Load.Service
+	if service == 0 {
+		service = usualService
+	}
+	if now.Before(a.warm) {
+		return service.Seconds() * coldFactor
+	}
+	return service.Seconds()
+}
+
+// requestsPerFlow returns the rate that a flow has on average among the agents
+// that are compared.
+func (s *Selection) requestsPerFlow() float64 {
+	var rate, flows float64
+	for _, c := range s.scored {
+		rate += float64(c.agent.Load.RequestsPerSecond)
+		flows += float64(c.agent.Load.Flows)
+	}
+	if flows == 0 {
+		return 0
+	}
+	return rate / flows
+}
+
+// Walk adds the agents that may hold an unknown flow of the service, most
+// likely first. Later attempts start elsewhere, so that an agent that does not
+// answer cannot hide the others.
+func (s *Selection) Walk(e *steer.Envelope, hash uint64, service string, attempt int, now time.Time) {
+	s.scored = s.scored[:0]
+	for _, a := range s.byService[service] {
+		score := s.ranker.Score(hash, a.hash, 1)
+		if a.suspect(now) {
+			score = -1 / score
+		}
+		s.scored = append(s.scored, scored{a, score})
+	}
+	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	e.Complete = len(s.scored) <= steer.MaxCandidates
+	for i := range s.scored {
+		at := (i + attempt*attemptStep) % len(s.scored)
+		if attempt%2 == 1 {
+			at = len(s.scored) - 1 - at
+		}
+		e.Append(candidate(s.scored[at].agent))
+	}
+}
+
+// attemptStep is how far the start of a walk moves with each attempt.
+const attemptStep = 3
+
+func (s *Selection) sort(compare func(a, b scored) int) {
+	slices.SortStableFunc(s.scored, compare)
+}
+
+func candidate(a *Agent) steer.Candidate {
+	return steer.Candidate{Agent: a.Address, Slots: a.Server.Slots}
+}
+
--- /dev/null
+++ b/internal/steer/digest.go
@@ -0,0 +1,69 @@
+package steer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+)
+
+// MaxMembers is how many other balancers a digest names at most.
+const MaxMembers = 8
+
+// Freshness tells how recent a balancer's catalog is.
+type Freshness struct {
+	// ConfigVersion is the version of the routes; 0 if none is known.
+	ConfigVersion uint64
+	// Revision is the platform's revision when the servers were read; 0 if never.
+	Revision uint64
+	// Age is the time since the servers were read.
+	Age time.Duration
+	// Sum is a hash of the servers, alike for equal lists.
+	Sum uint64
+	// Leaving is true if the sender is about to stop.
+	Leaving bool
+}
+
+const (
+	digestFixedLen = 2 + 8 + 8 + 4 + 8 + 1 + 1
+	// DigestMaxLen is the length of the longest digest, in bytes.
+	DigestMaxLen = digestFixedLen + MaxMembers*addrLen
+)
+
+// PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
+// and returns its length.
+func PutDigest(b []byte, f Freshness, members []netip.AddrPort) int {
+	b[0], b[kindOffset] = magic, byte(Digest)
+	binary.BigEndian.PutUint64(b[2:], f.ConfigVersion)
+	binary.BigEndian.PutUint64(b[10:], f.Revision)
+	binary.BigEndian.PutUint32(b[18:], uint32(min(f.Age.Milliseconds(), 1<<32-1)))
+	binary.BigEndian.PutUint64(b[22:], f.Sum)
+	b[30] = flag(f.Leaving, 1)
+	members = members[:min(len(members), MaxMembers)]
+	b[31] = byte(len(members))
+	for i, m := range members {
+		putAddr(b[digestFixedLen+i*addrLen:], m)
+	}
+	return digestFixedLen + len(members)*addrLen
+}
+
+// ParseDigest decodes a digest.
+func ParseDigest(b []byte) (Freshness, []netip.AddrPort, bool) {
+	if kind, ok := KindOf(b); !ok || kind != Digest || len(b) < digestFixedLen {
+		return Freshness{}, nil, false
+	}
+	n := int(b[31])
+	if n > MaxMembers || len(b) < digestFixedLen+n*addrLen {
+		return Freshness{}, nil, false
+	}
+	members := make([]netip.AddrPort, n)
+	for i := range members {
+		members[i] = addr(b[digestFixedLen+i*addrLen:])
+	}
+	return Freshness{
+		ConfigVersion: binary.BigEndian.Uint64(b[2:]),
+		Revision:      binary.BigEndian.Uint64(b[10:]),
+		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
+		Sum:           binary.BigEndian.Uint64(b[22:]),
+		Leaving:       b[30]&1 != 0,
+	}, members, true
+}
