--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -97,7 +97,7 @@
 	entry.Delivered = now
 	entry.Sent(p, now)
 	a.report(e.Balancer, entry.Flow, now)
-	a.deliver(e, rest, now)
+	a.deliver(e, p, rest, now)
 }
 
 // offer passes a new flow to the next candidate, or to the one with the
@@ -167,7 +167,7 @@
 	}
 	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
 		a.counts.Asked.Add(1)
-		a.deliver(e, rest, now)
+		a.deliver(e, p, rest, now)
 		return
 	}
 	a.notHeld(e, flow, raw, rest)
@@ -223,13 +223,13 @@
 }
 
 // deliver gives a packet to the server, with a tag that a bounce carries back.
-func (a *Agent) deliver(e *steer.Envelope, rest []byte, now time.Time) {
+func (a *Agent) deliver(e *steer.Envelope, p packet.Packet, rest []byte, now time.Time) {
 	a.config.Codec.PutTag(rest, a.tags.remember(e))
-	a.write(rest, now)
+	a.write(p, rest, now)
 }
 
-func (a *Agent) write(rest []byte, now time.Time) {
-	if a.unanswered.IsZero() {
+func (a *Agent) write(p packet.Packet, rest []byte, now time.Time) {
+	if a.unanswered.IsZero() && (p.Syn || p.Fin || len(p.Data) > 0) {
 		a.unanswered = now
 	}
 	if _, err := a.outbound.WriteToUDPAddrPort(rest, a.config.Server); err != nil {
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -77,7 +77,7 @@
 	if p.Reset {
 		a.cancel(entry)
 	}
-	a.deliver(e, rest, now)
+	a.deliver(e, p, rest, now)
 }
 
 // hold keeps a request until the server has room.
@@ -131,8 +131,8 @@
 		r.Packets(func(raw []byte) {
 			if p, ok := a.config.Codec.Parse(raw); ok {
 				entry.Sent(p, now)
+				a.write(p, raw, now)
 			}
-			a.write(raw, now)
 		})
 	}
 }
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -21,6 +21,9 @@
 	exitFailed = 1
 )
 
+// timeFormat is the form of times in the log.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
 // commands are the commands of the program.
 type commands struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer of packet flows."`
@@ -76,6 +79,7 @@
 		return err
 	}
 	setLevel(common(s).LogLevel)
+	zerolog.TimeFieldFormat = timeFormat
 	log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", common(s).Name).Logger()
 	p, err := build(s, log)
 	if err != nil {
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -298,4 +298,3 @@
 func candidate(a *Agent) steer.Candidate {
 	return steer.Candidate{Agent: a.Address, Slots: a.Server.Slots}
 }
-
