Read routes with the servers, and reset flows that no server holds

One balancer now reads routes and servers together and the others learn from it. An agent whose server bounces a flow that it had, and the last of all agents of a service, now reset the flow.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,16 +9,11 @@
 	"strconv"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
-// ErrHistoryGone means that changes since a revision are no longer available,
-// so that everything must be read anew.
-var ErrHistoryGone = merry.Sentinel("history is gone")
-
 // Share is the part of a route's flows that goes to a service.
 type Share struct {
 	// Service is the name of the service.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,10 +19,8 @@
 
 // Source reads the platform.
 type Source struct {
-	// Routes returns the newest routes, and the revision at which a watch continues.
-	Routes func(ctx context.Context) (catalog.Routes, uint64, error)
-	// WatchRoutes waits for routes after a revision; false means that none came.
-	WatchRoutes func(ctx context.Context, after uint64) (catalog.Routes, uint64, bool, error)
+	// Routes returns the newest routes.
+	Routes func(ctx context.Context) (catalog.Routes, error)
 	// Servers returns the servers, and an error for each entry that names none.
 	Servers func(ctx context.Context) (catalog.Servers, []error, error)
 }
@@ -56,7 +54,7 @@
 	catalog atomic.Pointer[catalog.Catalog]
 
 	mu sync.Mutex
-	// readAt is when the servers in the catalog were read, here or elsewhere.
+	// readAt is when the catalog was read, here or elsewhere.
 	readAt time.Time
 	// sum is the hash of the servers in the catalog.
 	sum uint64
@@ -65,7 +63,7 @@
 	members map[netip.AddrPort]time.Time
 	// fetching holds the balancers that are being asked for their catalog.
 	fetching map[netip.AddrPort]bool
-	// readFailed is when reading the servers last failed; zero after a success.
+	// readFailed is when the platform was lost; zero while it answers.
 	readFailed time.Time
 	leaving    bool
 	counts     Counts
@@ -107,7 +105,7 @@
 	return &d.counts
 }
 
-// Age returns the time since the servers were read, here or elsewhere, and
+// Age returns the time since the catalog was read, here or elsewhere, and
 // false if they never were.
 func (d *Directory) Age() (time.Duration, bool) {
 	d.mu.Lock()
@@ -119,8 +117,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { d.askSeeds(ctx) })
-	wg.Go(func() { d.followRoutes(ctx) })
-	wg.Go(func() { d.readServers(ctx) })
+	wg.Go(func() { d.readPlatform(ctx) })
 	wg.Go(func() { d.exchange(ctx) })
 	wg.Go(func() { d.listen(ctx) })
 	wg.Wait()
@@ -142,7 +139,7 @@
 }
 
 // takeServers puts a reading of the servers in force unless it is older than
-// the one in force.
+// the one in force. age is the time since the platform was asked.
 func (d *Directory) takeServers(s catalog.Servers, age time.Duration, from string) {
 	sum := s.Sum()
 	d.mu.Lock()
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -3,19 +3,16 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/samber/lo"
-
-	"github.com/bergamotgw/bergamotgw/internal/catalog"
 )
 
 // Timing of the readings.
 const (
-	// readInterval is the age at which the first balancer reads the servers again;
+	// readInterval is the age at which the first balancer reads the platform again;
 	// with the exchange and one lost reader it stays well within the 3 s in which
 	// a draining server must lose its new flows.
 	readInterval = 700 * time.Millisecond
@@ -24,81 +21,47 @@
 	rankStep = 400 * time.Millisecond
 	// retryInterval is the pause after a failed reading.
 	retryInterval = 500 * time.Millisecond
-	// watchInterval is the pause between two watches, so that a burst of changes
-	// costs few calls.
-	watchInterval = 500 * time.Millisecond
 	// memberTimeout is how long a silent balancer keeps its place in the order of
 	// readers.
 	memberTimeout = 1200 * time.Millisecond
 )
 
-// followRoutes reads the routes and watches for changes.
-func (d *Directory) followRoutes(ctx context.Context) {
-	var revision uint64
+// readPlatform reads the platform whenever the catalog is too old for this
+// balancer's rank among the live ones. Watches are not used: they may stay
+// silent while changes are made.
+func (d *Directory) readPlatform(ctx context.Context) {
 	for ctx.Err() == nil {
-		var err error
-		if revision == 0 {
-			revision, err = d.readRoutes(ctx)
-		} else {
-			revision, err = d.watchRoutes(ctx, revision)
+		if wait := d.untilDue(); wait > 0 {
+			d.sleep(ctx, wait)
+			continue
 		}
-		pause := watchInterval
+		err := d.read(ctx)
+		d.readDone(err)
 		if err != nil {
-			d.logDependency("routes", err)
-			pause = retryInterval
+			d.sleep(ctx, retryInterval)
+			continue
 		}
-		d.sleep(ctx, pause)
+		d.sendDigests()
 	}
 }
 
-func (d *Directory) readRoutes(ctx context.Context) (uint64, error) {
-	d.counts.Reads.Add(1)
-	routes, revision, err := d.config.Source.Routes(ctx)
+func (d *Directory) read(ctx context.Context) error {
+	asked := d.config.Clock.Now()
+	d.counts.Reads.Add(2)
+	routes, err := d.config.Source.Routes(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	d.takeRoutes(routes, "platform")
-	return revision, nil
-}
-
-func (d *Directory) watchRoutes(ctx context.Context, after uint64) (uint64, error) {
-	d.counts.Reads.Add(1)
-	routes, revision, changed, err := d.config.Source.WatchRoutes(ctx, after)
-	if errors.Is(err, catalog.ErrHistoryGone) {
-		return 0, nil
-	}
+	servers, faults, err := d.config.Source.Servers(ctx)
 	if err != nil {
-		return after, err
+		return err
 	}
-	if changed {
-		d.takeRoutes(routes, "platform")
-	}
-	return revision, nil
-}
-
-// readServers reads the servers whenever the catalog is too old for this
-// balancer's rank among the live ones.
-func (d *Directory) readServers(ctx context.Context) {
-	for ctx.Err() == nil {
-		if wait := d.untilDue(); wait > 0 {
-			d.sleep(ctx, wait)
-			continue
-		}
-		d.counts.Reads.Add(1)
-		asked := d.config.Clock.Now()
-		servers, faults, err := d.config.Source.Servers(ctx)
-		if err != nil {
-			d.readDone(err)
-			d.sleep(ctx, retryInterval)
-			continue
-		}
-		d.readDone(nil)
-		for _, f := range faults {
-			d.config.Log.Debug().Str("event", "entryIgnored").Err(f).Send()
-		}
-		d.takeServers(servers, d.config.Clock.Since(asked), "platform")
-		d.sendDigests()
+	for _, f := range faults {
+		d.config.Log.Debug().Str("event", "entryIgnored").Err(f).Send()
 	}
+	d.takeServers(servers, d.config.Clock.Since(asked), "platform")
+	return nil
 }
 
 // untilDue returns how long the catalog is still recent enough.
@@ -139,7 +102,7 @@
 	d.mu.Unlock()
 	switch {
 	case err != nil && before.IsZero():
-		d.logDependency("servers", err)
+		d.config.Log.Warn().Str("event", "platformLost").Err(err).Send()
 	case err == nil && !before.IsZero():
 		d.config.Log.Info().Str("event", "platformRegained").Dur("outage", d.config.Clock.Since(before)).Send()
 	}
@@ -148,10 +111,6 @@
 	}
 }
 
-func (d *Directory) logDependency(what string, err error) {
-	d.config.Log.Warn().Str("event", "platformCallFailed").Str("call", what).Err(err).Send()
-}
-
 func (d *Directory) sleep(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -170,7 +170,7 @@
 		a.deliver(e, p, rest, now)
 		return
 	}
-	a.notHeld(e, flow, raw, rest)
+	a.notHeld(e, p, raw, rest)
 }
 
 // found tells a balancer that searched for a flow where it is.
@@ -182,8 +182,11 @@
 	}
 }
 
-// notHeld passes a packet on whose flow the server does not hold.
-func (a *Agent) notHeld(e *steer.Envelope, flow packet.Flow, raw, rest []byte) {
+// notHeld passes a packet on whose flow the server does not hold. Each agent
+// that passes it on has found out that its server does not hold the flow, so
+// after the last one of all agents the flow is gone, and its caller is told.
+func (a *Agent) notHeld(e *steer.Envelope, p packet.Packet, raw, rest []byte) {
+	flow := p.SentFlow()
 	if e.Cached {
 		a.counts.Returned.Add(1)
 		e.Kind = steer.Return
@@ -195,8 +198,14 @@
 		a.send(raw, e.Balancer)
 		return
 	}
-	if !a.passOn(e, raw, rest) {
-		a.lost(e, flow)
+	if a.passOn(e, raw, rest) {
+		return
+	}
+	a.lost(e, flow)
+	if e.Complete && !p.Reset {
+		a.config.Log.Info().Str("event", "flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
+			Uint8("agentsAsked", e.Count).Send()
+		a.reset(flow, p.AckSeq)
 	}
 }
 
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -68,7 +68,8 @@
 	}
 }
 
-// handleBounce passes a packet on that the server did not take.
+// handleBounce passes a packet on that the server did not take. If the server
+// had the flow before, it has restarted since, and the caller is told.
 func (a *Agent) handleBounce(p packet.Packet, raw []byte, now time.Time) {
 	a.counts.Bounced.Add(1)
 	var e steer.Envelope
@@ -76,21 +77,24 @@
 	a.config.Codec.ClearMarks(raw)
 	flow := p.SentFlow()
 	if entry := a.table.Get(flow); entry != nil {
+		held := entry.State != flowtable.Opening && entry.Holds(p)
 		a.cancel(entry)
 		a.table.Remove(flow)
 		a.fill(now)
+		if held && !p.Syn {
+			a.config.Log.Info().Str("event", "flowReset").Stringer("flow", flow).Str("reason", "serverRestarted").Send()
+			a.reset(flow, p.AckSeq)
+			return
+		}
 	}
-	if !known {
+	switch {
+	case !known:
 		a.counts.Lost.Add(1)
-		return
-	}
-	if p.Syn {
-		if a.passSyn(&e, flow, nil, raw) {
-			a.lost(&e, flow)
-		}
-		return
+	case !p.Syn:
+		a.notHeld(&e, p, nil, raw)
+	case a.passSyn(&e, flow, nil, raw):
+		a.lost(&e, flow)
 	}
-	a.notHeld(&e, flow, nil, raw)
 }
 
 func (a *Agent) sendToCaller(raw []byte, flow packet.Flow) {
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -51,9 +51,8 @@
 		Peer:  s.Peer,
 		Seeds: lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
 		Source: directory.Source{
-			Routes:      store.Routes,
-			WatchRoutes: store.WatchRoutes,
-			Servers:     store.Servers,
+			Routes:  store.Routes,
+			Servers: store.Servers,
 		},
 		Send:    func(raw []byte, to netip.AddrPort) { b.forward.Send(raw, to) },
 		Changed: func(c *catalog.Catalog) { b.forward.SetServers(c.Servers) },
