Walk past agents that answer, and send silent ones copies of their own

Ruled out: a lost table entry (the own agent found the flow once the list was without the dead agent). Agents that leave pings unanswered are no longer in the walk but get a copy of their own, the second attempt walks the other way round, and an agent whose server recognises a flow tells the balancer that asked. One record is kept for each address, of the server born last: a restarted server is listed twice until its former entry lapses, and the two overwrote each other's load.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -85,6 +85,7 @@
 		a.refuse(flow, p, delay, timeout)
 		return
 	}
+	a.config.Log.Info().Str("event", "flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).Send()
 	entry := a.table.Add(flow, now)
 	entry.Class = e.Class
 	a.expected[flow] = now
@@ -167,6 +168,9 @@
 	}
 	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
 		a.counts.Asked.Add(1)
+		a.asked[flow] = asking{balancer: e.Balancer, class: e.Class, at: now}
+		a.config.Log.Info().Str("event", "serverAsked").Stringer("flow", flow).Uint8("hop", e.Hop).
+			Uint8("agents", e.Count).Bool("cached", e.Cached).Send()
 		a.deliver(e, p, rest, now)
 		return
 	}
@@ -178,6 +182,7 @@
 	entry.Balancer = e.Balancer
 	entry.Class = e.Class
 	if !e.Cached {
+		a.config.Log.Info().Str("event", "flowFound").Stringer("flow", entry.Flow).Uint8("hop", e.Hop).Send()
 		a.report(e.Balancer, entry.Flow, now)
 	}
 }
@@ -189,6 +194,7 @@
 	flow := p.SentFlow()
 	if e.Cached {
 		a.counts.Returned.Add(1)
+		a.config.Log.Info().Str("event", "packetReturned").Stringer("flow", flow).Bool("known", a.table.Get(flow) != nil).Send()
 		e.Kind = steer.Return
 		if raw == nil {
 			raw = make([]byte, e.Len()+len(rest))
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -23,6 +23,8 @@
 	// closedFor is how long a closed flow is remembered; retransmissions come
 	// within 1.6 s.
 	closedFor = 3 * time.Second
+	// askFor is how long an answer of the server to a question is waited for.
+	askFor = time.Second
 	// activeFor is how long a flow counts as active after its latest packet.
 	activeFor = 5 * time.Second
 	// silentAfter is how long a server may leave every packet unanswered; it
@@ -56,6 +58,11 @@
 func (a *Agent) sweep(now time.Time) {
 	a.active = a.table.Active(now.Add(-activeFor))
 	a.table.Sweep(now.Add(-closedFor), now.Add(-a.config.MaxFlow))
+	for f, q := range a.asked {
+		if now.Sub(q.at) > askFor {
+			delete(a.asked, f)
+		}
+	}
 	for b, at := range a.listeners {
 		if now.Sub(at) > listenFor {
 			delete(a.listeners, b)
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -58,6 +58,7 @@
 		a.counts.Learnt.Add(1)
 		entry = a.table.Add(flow, now)
 		entry.State = flowtable.Open
+		a.tellAsker(entry, now)
 	}
 	if entry.Answered(p, now) {
 		a.finish(entry, now)
@@ -68,6 +69,18 @@
 	}
 }
 
+// tellAsker tells the balancer that searched for a flow that the server holds it.
+func (a *Agent) tellAsker(entry *flowtable.Entry, now time.Time) {
+	q, ok := a.asked[entry.Flow]
+	if !ok {
+		return
+	}
+	delete(a.asked, entry.Flow)
+	entry.Balancer, entry.Class = q.balancer, q.class
+	a.config.Log.Info().Str("event", "flowLearnt").Stringer("flow", entry.Flow).Send()
+	a.report(q.balancer, entry.Flow, now)
+}
+
 // handleBounce passes a packet on that the server did not take. If the server
 // had the flow before, it has restarted since, and the caller is told.
 func (a *Agent) handleBounce(p packet.Packet, raw []byte, now time.Time) {
@@ -76,6 +89,7 @@
 	known := a.tags.recall(p.Tag, &e)
 	a.config.Codec.ClearMarks(raw)
 	flow := p.SentFlow()
+	delete(a.asked, flow)
 	if entry := a.table.Get(flow); entry != nil {
 		held := entry.State != flowtable.Opening && entry.Holds(p)
 		a.cancel(entry)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -65,6 +65,8 @@
 	running map[packet.Flow]running
 	// expected holds when flows were admitted whose first request has not come.
 	expected map[packet.Flow]time.Time
+	// asked holds the flows about which the server was asked, until it answers.
+	asked map[packet.Flow]asking
 	// tags remember the envelopes of packets that the server may bounce.
 	tags tagRing
 	// slots is how many requests the server runs at a time; 0 until a balancer told.
@@ -85,6 +87,14 @@
 	active int
 }
 
+// asking is a question to the server whether it holds a flow.
+type asking struct {
+	// balancer searches for the flow.
+	balancer netip.AddrPort
+	class    steer.Class
+	at       time.Time
+}
+
 // running is a request that the server works on.
 type running struct {
 	delivered time.Time
@@ -111,6 +121,7 @@
 		started:   now,
 		table:     flowtable.NewTable(),
 		running:   make(map[packet.Flow]running),
+		asked:     make(map[packet.Flow]asking),
 		expected:  make(map[packet.Flow]time.Time),
 		listeners: make(map[netip.AddrPort]time.Time),
 		rate:      rateMeter{since: now},
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -115,20 +115,30 @@
 	hash := b.selection.Hash(flow)
 	service := route.Select(hash)
 	e.Service = catalog.ServiceID(service)
-	b.selection.Walk(&e, hash, service, int(at.attempts), now)
+	e.Complete = true
+	b.aside = b.selection.Walk(&e, b.aside[:0], hash, service, int(at.attempts), now)
 	for _, s := range route.Shares {
 		if s.Service != service {
-			b.selection.Walk(&e, hash, s.Service, int(at.attempts), now)
+			b.aside = b.selection.Walk(&e, b.aside, hash, s.Service, int(at.attempts), now)
 		}
 	}
+	aside := b.aside
 	b.mu.Unlock()
-	if e.Count == 0 {
+	if int(e.Count)+len(aside) == 0 {
 		b.counts.NoServer.Add(1)
 		return
 	}
 	b.counts.Walks.Add(1)
+	b.config.Log.Info().Str("event", "flowSearched").Stringer("flow", flow).Uint8("attempt", at.attempts).
+		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Send()
 	b.cache.Put(flow, place{attempts: min(at.attempts+1, maxAttempts)})
-	b.send(&e, buf)
+	if e.Count > 0 {
+		b.send(&e, buf)
+	}
+	for _, c := range aside {
+		e.Count, e.Complete, e.Candidates[0] = 1, false, c
+		b.send(&e, buf)
+	}
 }
 
 // send puts the envelope in front of the packet and sends both.
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -71,6 +71,8 @@
 
 	mu        sync.Mutex
 	selection *selection.Selection
+	// aside is scratch space of walk.
+	aside []steer.Candidate
 }
 
 // place is what the cache holds of a flow.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -31,6 +31,9 @@
 	// lapseGrace is how long a ready server that is no longer listed stays usable:
 	// entries that lapsed in an outage return within 2 s of its end.
 	lapseGrace = 1800 * time.Millisecond
+	// goneAfter is how long a server that does not answer must be missing from the
+	// list to count as gone, with all its flows.
+	goneAfter = 4 * time.Second
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
@@ -92,24 +95,37 @@
 
 // Update takes a new reading of the servers.
 func (s *Selection) Update(servers catalog.Servers, now time.Time) {
-	listed := make(map[netip.AddrPort]bool, len(servers.List))
-	for _, v := range servers.List {
-		address := netip.AddrPortFrom(v.Address, s.port)
-		listed[address] = true
+	listed := s.newest(servers)
+	for address, v := range listed {
 		s.list(address, v, now)
 	}
 	for address, a := range s.agents {
-		switch {
-		case listed[address]:
-		case a.Missing.IsZero():
+		if _, ok := listed[address]; ok {
+			continue
+		}
+		if a.Missing.IsZero() {
 			a.Missing = now
-		case now.Sub(a.Missing) > s.retain:
+		}
+		if now.Sub(a.Missing) > s.retain {
 			delete(s.agents, address)
 		}
 	}
 	s.group()
 }
 
+// newest returns the servers by the address of their agent. A server that
+// restarted under another ID is listed twice until the former entry lapses.
+func (s *Selection) newest(servers catalog.Servers) map[netip.AddrPort]catalog.Server {
+	listed := make(map[netip.AddrPort]catalog.Server, len(servers.List))
+	for _, v := range servers.List {
+		address := netip.AddrPortFrom(v.Address, s.port)
+		if other, ok := listed[address]; !ok || v.Born > other.Born {
+			listed[address] = v
+		}
+	}
+	return listed
+}
+
 func (s *Selection) list(address netip.AddrPort, v catalog.Server, now time.Time) {
 	a := s.agents[address]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
@@ -173,7 +189,7 @@
 // Stale appends the agents without a report since the given time to list.
 func (s *Selection) Stale(since, now time.Time, list []netip.AddrPort) []netip.AddrPort {
 	for _, a := range s.agents {
-		if a.Heard.Before(since) && (a.usable(now) || a.Missing.IsZero()) {
+		if a.Heard.Before(since) {
 			list = append(list, a.Address)
 		}
 	}
@@ -267,28 +283,36 @@
 
 // Walk adds the agents that may hold an unknown flow of the service, most
 // likely first. Later attempts start elsewhere, so that an agent that does not
-// answer cannot hide the others.
-func (s *Selection) Walk(e *steer.Envelope, hash uint64, service string, attempt int, now time.Time) {
+// answer cannot hide the others. Complete stays true if the list holds all
+// agents whose servers may live. Agents known not to answer are no part of the
+// list, but are appended to aside: each is sent a copy of its own.
+func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, service string, attempt int, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
+	complete := true
 	for _, a := range s.byService[service] {
-		score := s.ranker.Score(hash, a.hash, 1)
-		if a.suspect(now) {
-			score = -1 / score
+		switch {
+		case !a.suspect(now):
+			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+		case a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter:
+			complete = false
+			fallthrough
+		default:
+			aside = append(aside, candidate(a))
 		}
-		s.scored = append(s.scored, scored{a, score})
 	}
 	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	e.Complete = len(s.scored) <= steer.MaxCandidates
+	e.Complete = e.Complete && complete && int(e.Count)+len(s.scored) <= steer.MaxCandidates
 	for i := range s.scored {
-		at := (i + attempt*attemptStep) % len(s.scored)
+		at := (i + attempt/2*attemptStep) % len(s.scored)
 		if attempt%2 == 1 {
 			at = len(s.scored) - 1 - at
 		}
 		e.Append(candidate(s.scored[at].agent))
 	}
+	return aside
 }
 
-// attemptStep is how far the start of a walk moves with each attempt.
+// attemptStep is how far the start of a walk moves with each second attempt.
 const attemptStep = 3
 
 func (s *Selection) sort(compare func(a, b scored) int) {
