Order held requests by what their callers still gain

Ruled out: stuck requests (none overdue) and idle slots (traced deliveries follow answers). Requests now count from the first SYN of a fresh flow and from half a round trip before; the youngest goes first while the queue is long; a caller that closes its flow gives its request up.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,8 +24,10 @@
 	Flow packet.Flow
 	// Class describes it.
 	Class steer.Class
-	// Arrived is when its first packet came.
-	Arrived time.Time
+	// Sent is when its caller sent it, as far as known.
+	Sent time.Time
+	// Return is the time that an answer takes to the caller.
+	Return time.Duration
 
 	packets []held
 }
@@ -86,13 +88,25 @@
 	return len(q.list)
 }
 
-// Next removes and returns the request to deliver, given the time that the
-// server takes: first those that can still be answered within their
-// response-time objective, then by priority, then by age.
-func (q *Queue) Next(now time.Time, service time.Duration) *Request {
+// Server is what the order of requests depends on.
+type Server struct {
+	// Service is the time that the server takes for a request.
+	Service time.Duration
+	// Slots is how many requests it runs at a time; at least 1.
+	Slots int
+}
+
+// Next removes and returns the request to deliver. Requests that can still be
+// answered within their response-time objective go first, by priority and age;
+// if they would wait for half of the objective, the youngest goes first, since
+// an overloaded server that takes the oldest answers all of them late. After
+// them come late requests, by priority and the youngest first: the oldest would
+// use the server for answers that come after their caller has given up.
+func (q *Queue) Next(now time.Time, s Server) *Request {
 	best := -1
+	crowded := time.Duration(len(q.list)) * s.Service / time.Duration(s.Slots)
 	for i, r := range q.list {
-		if best < 0 || r.before(q.list[best], now.Add(service)) {
+		if best < 0 || r.before(q.list[best], now.Add(s.Service), crowded) {
 			best = i
 		}
 	}
@@ -102,10 +116,11 @@
 	return q.remove(best)
 }
 
-// Expired removes and returns a request whose timeout has passed, or nil.
-func (q *Queue) Expired(now time.Time) *Request {
+// Expired removes and returns a request that can no longer be answered before
+// its timeout, or nil.
+func (q *Queue) Expired(now time.Time, service time.Duration) *Request {
 	for i, r := range q.list {
-		if r.Class.TimeoutMillis > 0 && !now.Before(r.Arrived.Add(millis(r.Class.TimeoutMillis))) {
+		if r.Class.TimeoutMillis > 0 && now.Add(service+r.Return).After(r.Sent.Add(millis(r.Class.TimeoutMillis))) {
 			return q.remove(i)
 		}
 	}
@@ -128,19 +143,24 @@
 	return r
 }
 
-// before reports whether r goes before s if an answer would come at done.
-func (r *Request) before(s *Request, done time.Time) bool {
-	if a, b := r.inTime(done), s.inTime(done); a != b {
-		return a
-	}
-	if r.Class.Priority != s.Class.Priority {
+// before reports whether r goes before s if an answer would leave the server at
+// done. crowded is how long the queue takes to empty.
+func (r *Request) before(s *Request, done time.Time, crowded time.Duration) bool {
+	timely := r.inTime(done)
+	switch {
+	case timely != s.inTime(done):
+		return timely
+	case r.Class.Priority != s.Class.Priority:
 		return r.Class.Priority < s.Class.Priority
+	case timely && crowded < millis(r.Class.TargetMillis)/2:
+		return r.Sent.Before(s.Sent)
+	default:
+		return r.Sent.After(s.Sent)
 	}
-	return r.Arrived.Before(s.Arrived)
 }
 
 func (r *Request) inTime(done time.Time) bool {
-	return r.Class.TargetMillis == 0 || !done.After(r.Arrived.Add(millis(r.Class.TargetMillis)))
+	return r.Class.TargetMillis == 0 || !done.Add(r.Return).After(r.Sent.Add(millis(r.Class.TargetMillis)))
 }
 
 func millis(n uint16) time.Duration {
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -41,6 +41,12 @@
 	Seen time.Time
 	// Delivered is when the SYN, or the request that runs, went to the server.
 	Delivered time.Time
+	// Opened is when the caller sent its first SYN, as far as its copies tell; zero
+	// if the flow was opened before this process started.
+	Opened time.Time
+	// RoundTrip is the time between the server's first answer and the caller's next
+	// packet; 0 if unknown.
+	RoundTrip time.Duration
 	// Requests counts requests since the flow is known here.
 	Requests int
 	// Running is true from the delivery of a request to the first byte of its answer.
@@ -53,6 +59,8 @@
 	serverNext, callerNext           uint32
 	serverNextKnown, callerNextKnown bool
 	serverFin, callerFin             bool
+	// answeredAt is when the server answered the SYN.
+	answeredAt time.Time
 }
 
 // Table holds flows. It is not safe for concurrent use.
@@ -134,9 +142,21 @@
 	return !e.callerNextKnown || packet.SeqAfter(p.NextSeq(), e.callerNext)
 }
 
+// RequestSent returns when the caller sent the request whose first packet comes
+// now: a flow's first request counts from its opening.
+func (e *Entry) RequestSent(now time.Time) time.Time {
+	if e.Requests == 0 && !e.Opened.IsZero() {
+		return e.Opened
+	}
+	return now.Add(-e.RoundTrip / 2)
+}
+
 // Sent notes a packet of the caller that is delivered to the server.
 func (e *Entry) Sent(p packet.Packet, now time.Time) {
 	e.Seen = now
+	if e.RoundTrip == 0 && !e.answeredAt.IsZero() {
+		e.RoundTrip = now.Sub(e.answeredAt)
+	}
 	if next := p.NextSeq(); !e.callerNextKnown || packet.SeqAfter(next, e.callerNext) {
 		e.callerNext, e.callerNextKnown = next, true
 	}
@@ -154,6 +174,7 @@
 	}
 	if e.State == Opening {
 		e.State = Open
+		e.answeredAt = now
 	}
 	e.serverFin = e.serverFin || p.Fin
 	e.close(p)
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -87,12 +87,25 @@
 	}
 	a.config.Log.Info().Str("event", "flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).Send()
 	entry := a.table.Add(flow, now)
-	entry.Class = e.Class
+	entry.Class, entry.Opened = e.Class, now.Add(-copyAge(p.AckSeq))
 	a.expected[flow] = now
 	a.counts.Admitted.Add(1)
 	a.deliverSyn(e, entry, p, rest, now)
 }
 
+// copyAge returns how long ago the first SYN was sent, given the number of the
+// copy: callers repeat it after 200 and 600 ms.
+func copyAge(number uint32) time.Duration {
+	switch number {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
 func (a *Agent) deliverSyn(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
 	entry.Balancer = e.Balancer
 	entry.Delivered = now
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -66,28 +66,29 @@
 	}
 	if entry.StartsRequest(p) {
 		delete(a.expected, entry.Flow)
-		entry.Requests++
 		a.rate.add(now)
-		if len(a.running) >= a.slotCount()+ahead && a.hold(entry, p, rest, now) {
+		sent := entry.RequestSent(now)
+		entry.Requests++
+		if len(a.running) >= a.slotCount()+ahead && a.hold(entry, p, rest, sent) {
 			return
 		}
 		a.run(entry, now)
 	}
 	entry.Sent(p, now)
-	if p.Reset {
+	if p.Reset || p.Fin && entry.Held {
 		a.cancel(entry)
 	}
 	a.deliver(e, p, rest, now)
 }
 
 // hold keeps a request until the server has room.
-func (a *Agent) hold(entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) bool {
-	r := &dispatch.Request{Flow: entry.Flow, Class: entry.Class, Arrived: now}
+func (a *Agent) hold(entry *flowtable.Entry, p packet.Packet, rest []byte, sent time.Time) bool {
+	r := &dispatch.Request{Flow: entry.Flow, Class: entry.Class, Sent: sent, Return: entry.RoundTrip / 2}
 	if !a.queue.Push(r, p, rest) {
 		return false
 	}
 	a.counts.Held.Add(1)
-	entry.Held, entry.Seen = true, now
+	entry.Held = true
 	return true
 }
 
@@ -96,7 +97,7 @@
 	a.running[entry.Flow] = running{delivered: now, concurrent: len(a.running) + 1}
 }
 
-// cancel forgets the request of a flow that its caller has reset.
+// cancel forgets the request of a flow that its caller has given up.
 func (a *Agent) cancel(entry *flowtable.Entry) {
 	delete(a.running, entry.Flow)
 	delete(a.expected, entry.Flow)
@@ -118,7 +119,7 @@
 // fill gives the server requests that wait, while it has room.
 func (a *Agent) fill(now time.Time) {
 	for len(a.running) < a.slotCount()+ahead {
-		r := a.queue.Next(now, a.service.Mean())
+		r := a.queue.Next(now, dispatch.Server{Service: a.service.Mean(), Slots: a.slotCount()})
 		if r == nil {
 			return
 		}
@@ -140,15 +141,16 @@
 // expire drops requests whose caller has given up, and stops counting those
 // that the server has had for too long.
 func (a *Agent) expire(now time.Time) {
-	for r := a.queue.Expired(now); r != nil; r = a.queue.Expired(now) {
+	service := a.service.Mean()
+	for r := a.queue.Expired(now, service); r != nil; r = a.queue.Expired(now, service) {
 		a.counts.Expired.Add(1)
 		a.config.Log.Warn().Str("event", "requestExpired").Stringer("flow", r.Flow).
-			Dur("waited", now.Sub(r.Arrived)).Int("running", len(a.running)).Send()
+			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Send()
 		if entry := a.table.Get(r.Flow); entry != nil {
 			entry.Held = false
 		}
 	}
-	overdue := max(overdueFactor*a.service.Mean(), minOverdue)
+	overdue := max(overdueFactor*service, minOverdue)
 	for f, r := range a.running {
 		if now.Sub(r.delivered) > overdue {
 			delete(a.running, f)
