--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -23,9 +23,9 @@
 	Closed
 )
 
-// maxAckBehind is how far a caller's acknowledgement may lag behind what its
-// server has sent, in bytes; far above any window of 16 packets.
-const maxAckBehind = 1 << 18
+// maxAckDistance is how far a caller's acknowledgement may be from what its
+// server is known to have sent, in bytes; far above any window of 16 packets.
+const maxAckDistance = 1 << 18
 
 // Entry is one flow.
 type Entry struct {
@@ -122,7 +122,8 @@
 
 // Holds reports whether a caller's packet, other than a SYN, belongs to this
 // flow as the server knows it: it acknowledges what this server has sent. Of
-// two servers that both answered a SYN, only one passes.
+// two servers that both answered a SYN, only one passes. If the flow is older
+// than this process, the server may have sent more than was seen here.
 func (e *Entry) Holds(p packet.Packet) bool {
 	if e.State == Opening {
 		return false
@@ -130,7 +131,11 @@
 	if !e.serverNextKnown || !p.Ack {
 		return true
 	}
-	return !packet.SeqAfter(p.AckSeq, e.serverNext) && !packet.SeqAfter(e.serverNext-maxAckBehind, p.AckSeq)
+	ahead := int32(p.AckSeq - e.serverNext)
+	if e.answeredAt.IsZero() {
+		return ahead > -maxAckDistance && ahead < maxAckDistance
+	}
+	return ahead > -maxAckDistance && ahead <= 0
 }
 
 // StartsRequest reports whether a caller's packet carries the first bytes of a
--- /dev/null
+++ b/internal/lab/packetlab/balancer.go
@@ -0,0 +1,156 @@
+package packetlab
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
+	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
+)
+
+// Timing of the stand-ins.
+const (
+	// maxFlow is the age after which a flow may be forgotten.
+	maxFlow = 60 * time.Second
+	// readInterval is how often a balancer reads the platform.
+	readInterval = 700 * time.Millisecond
+	// probeDelay is how long the fabric takes to see that a balancer is gone.
+	probeDelay = time.Second
+	// lapseAfter is how long the platform lists a server that has crashed.
+	lapseAfter = 2300 * time.Millisecond
+)
+
+// platform is the stand-in of the platform's store.
+type platform struct {
+	routes   catalog.Routes
+	servers  map[string]catalog.Server
+	revision uint64
+	down     bool
+}
+
+func (p *platform) register(s *serverVM) {
+	if p.servers == nil {
+		p.servers = make(map[string]catalog.Server)
+	}
+	p.revision++
+	id := s.entryID()
+	p.servers[id] = catalog.Server{
+		ID: id, Born: s.born.UnixMilli(), Service: s.service.Name, Address: s.ip, Zone: s.zone,
+		Slots: uint8(s.service.Slots), State: s.state, Warmup: s.service.Cold,
+	}
+}
+
+func (p *platform) remove(id string) {
+	p.revision++
+	delete(p.servers, id)
+}
+
+// balancerVM is a VM with a balancer.
+type balancerVM struct {
+	*vm
+	lab      *Lab
+	balancer *packetbalancer.Balancer
+	catalog  *catalog.Catalog
+	// goneAt is when the fabric stops using the balancer; zero while it runs.
+	goneAt time.Time
+	hash   uint64
+}
+
+func (b *balancerVM) back() netip.AddrPort { return netip.AddrPortFrom(b.ip, backPort) }
+
+// AddBalancer starts a balancer.
+func (l *Lab) AddBalancer(zone string) *balancerVM {
+	b := &balancerVM{vm: l.newVM(zone), lab: l}
+	b.hash = rendezvous.NewRanker(nil).Hash(b.ip.AsSlice())
+	l.balancers = append(l.balancers, b)
+	b.start()
+	return b
+}
+
+// start starts the process with an empty cache.
+func (b *balancerVM) start() {
+	l := b.lab
+	b.epoch++
+	b.up, b.goneAt, b.disturbed = true, time.Time{}, l.clock.Now()
+	b.catalog = catalog.NewCatalog()
+	b.balancer = packetbalancer.NewWiredBalancer(packetbalancer.Config{
+		Front:     netip.AddrPortFrom(b.ip, frontPort),
+		Back:      b.back(),
+		Zone:      b.zone,
+		AgentPort: agentPort,
+		MaxFlow:   maxFlow,
+		Codec:     codec(),
+		Catalog:   func() *catalog.Catalog { return b.catalog },
+		Digest:    func(context.Context, []byte, netip.AddrPort) {},
+		Clock:     l.clock,
+		Log:       l.Log.With().Str("vm", b.ip.String()).Logger(),
+	}, packetbalancer.Wire{
+		ToFleet: func(raw []byte, to netip.AddrPort) error { l.send(raw, b.back(), to); return nil },
+		ToCaller: func(raw []byte, to netip.AddrPort) error {
+			l.send(raw, netip.AddrPortFrom(b.ip, frontPort), to)
+			return nil
+		},
+	})
+	l.receivers[b.back()] = func(raw []byte, from netip.AddrPort) {
+		b.balancer.FromFleet(context.Background(), raw, from)
+	}
+	b.read()
+	l.every(b.vm, readInterval, b.read)
+	l.every(b.vm, packetbalancer.PingInterval, b.balancer.PingAgents)
+}
+
+// stop ends the process. The fabric goes on using it for some time, unless it
+// has told that it leaves.
+func (b *balancerVM) stop() {
+	b.up = false
+	b.epoch++
+	b.disturbed = b.lab.clock.Now()
+	b.goneAt = b.disturbed.Add(probeDelay)
+}
+
+// read takes what the platform lists.
+func (b *balancerVM) read() {
+	p := &b.lab.platform
+	if p.down || b.cut {
+		return
+	}
+	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.revision, lo.Values(p.servers)))
+	b.balancer.SetServers(b.catalog.Servers)
+}
+
+// route carries a packet of a caller to a balancer in its zone, by a hash of the
+// flow that moves only the flows of balancers that come or go.
+func (l *Lab) route(c *caller, f packet.Flow, raw []byte) {
+	var key [packet.FlowLen]byte
+	f.Put(key[:])
+	ranker := rendezvous.NewRanker([]byte("fabric"))
+	hash := ranker.Hash(key[:])
+	var best *balancerVM
+	var bestScore float64
+	for _, b := range l.balancers {
+		if b.zone != c.near || !b.inRotation() {
+			continue
+		}
+		if score := ranker.Score(hash, b.hash, 1); best == nil || score > bestScore {
+			best, bestScore = b, score
+		}
+	}
+	if best == nil || best.cut {
+		return
+	}
+	copied := append([]byte(nil), raw...)
+	l.after(callerDelay, func() {
+		if best.up && !best.cut {
+			best.balancer.FromCaller(copied)
+		}
+	})
+}
+
+func (b *balancerVM) inRotation() bool {
+	return b.up && b.catalog.Complete() || !b.up && b.lab.clock.Now().Before(b.goneAt)
+}
--- /dev/null
+++ b/internal/lab/packetlab/faults.go
@@ -0,0 +1,170 @@
+package packetlab
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+func (s *serverVM) entryID() string {
+	return fmt.Sprintf("server-%d", s.id)
+}
+
+// SetRoutes publishes routes, one for each kind.
+func (l *Lab) SetRoutes(version uint64, kinds []Kind, services []string) {
+	routes := catalog.Routes{Version: version}
+	for i, k := range kinds {
+		priority := uint8(2)
+		if k.Once {
+			priority = 1
+		}
+		routes.List = append(routes.List, catalog.Route{
+			Name: k.Name, Address: k.Address, Shares: []catalog.Share{{Service: services[i], Weight: 1}},
+			Class: steer.Class{
+				Priority: priority, Once: k.Once,
+				TargetMillis: uint16(k.Target.Milliseconds()), TimeoutMillis: uint16(k.Timeout.Milliseconds()),
+			},
+		})
+	}
+	l.platform.revision++
+	l.platform.routes = routes
+}
+
+// RestartBalancer ends a balancer, and starts it again after the given time.
+func (l *Lab) RestartBalancer(i int, down time.Duration) {
+	b := l.balancers[i]
+	b.stop()
+	l.after(down, b.start)
+}
+
+// LoseBalancer ends a balancer for good.
+func (l *Lab) LoseBalancer(i int) {
+	l.balancers[i].stop()
+}
+
+// RestartAgent ends an agent whose server lives, and starts it again.
+func (l *Lab) RestartAgent(i int, down time.Duration) {
+	s := l.servers[i]
+	s.stopAgent()
+	l.after(down, s.startAgent)
+}
+
+// CrashServer ends a server; it starts again after the given time under a new
+// entry, and its former entry lapses.
+func (l *Lab) CrashServer(i int, down time.Duration) {
+	s := l.servers[i]
+	former := s.entryID()
+	s.crash()
+	l.after(lapseAfter, func() { l.platform.remove(former) })
+	l.after(down, s.startServer)
+}
+
+// LoseServer ends the VM of a server for good; its entry lapses.
+func (l *Lab) LoseServer(i int) {
+	s := l.servers[i]
+	former := s.entryID()
+	s.crash()
+	s.stopAgent()
+	s.up = false
+	l.after(lapseAfter, func() { l.platform.remove(former) })
+}
+
+// DrainServer lists a server as draining, and ends it after the given time.
+func (l *Lab) DrainServer(i int, after time.Duration) {
+	s := l.servers[i]
+	s.state, s.drainedAt = catalog.Draining, l.clock.Now()
+	l.platform.register(s)
+	l.after(after, func() {
+		l.platform.remove(s.entryID())
+		s.crash()
+		s.stopAgent()
+		s.up = false
+	})
+}
+
+// SlowServer multiplies the work of a server for the given time.
+func (l *Lab) SlowServer(i int, factor float64, d time.Duration) {
+	s := l.servers[i]
+	s.slow = factor
+	l.after(d, func() { s.slow = 1 })
+}
+
+// ReuseAddress ends the VM of a server and starts one of another service at its
+// address.
+func (l *Lab) ReuseAddress(i int, service Service, after time.Duration) {
+	s := l.servers[i]
+	l.LoseServer(i)
+	l.after(after, func() {
+		s.up, s.service = true, service
+		s.startServer()
+		s.startAgent()
+	})
+}
+
+// LosePower ends every balancer, agent and server at once, and starts them again.
+func (l *Lab) LosePower(down time.Duration) {
+	for i := range l.balancers {
+		if l.balancers[i].up {
+			l.RestartBalancer(i, down)
+		}
+	}
+	for i, s := range l.servers {
+		if s.up {
+			l.RestartAgent(i, down)
+			l.CrashServer(i, down)
+		}
+	}
+}
+
+// KillAll ends every balancer and agent at once, and starts them again.
+func (l *Lab) KillAll(down time.Duration) {
+	for i := range l.balancers {
+		if l.balancers[i].up {
+			l.RestartBalancer(i, down)
+		}
+	}
+	for i, s := range l.servers {
+		if s.up {
+			l.RestartAgent(i, down)
+		}
+	}
+}
+
+// PlatformDown makes the platform unreachable for the given time. Entries in
+// use lapse at its start if lapse is true, and return 1.5 s after its end.
+func (l *Lab) PlatformDown(d time.Duration, lapse bool) {
+	l.platform.down = true
+	l.after(d, func() {
+		l.platform.down = false
+		if !lapse {
+			return
+		}
+		l.platform.revision++
+		l.platform.servers = nil
+		l.after(lapseReturn, func() {
+			for _, s := range l.servers {
+				if s.up && s.alive {
+					l.platform.register(s)
+				}
+			}
+		})
+	})
+}
+
+// lapseReturn is how long lapsed entries take to return after an outage.
+const lapseReturn = 1500 * time.Millisecond
+
+// CutBalancer cuts a balancer off from all other VMs for the given time.
+func (l *Lab) CutBalancer(i int, d time.Duration) {
+	b := l.balancers[i]
+	b.cut = true
+	l.after(d, func() { b.cut = false })
+}
+
+// address returns the nth service address.
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(8000+n))
+}
--- /dev/null
+++ b/internal/lab/packetlab/packetlab.go
@@ -0,0 +1,203 @@
+// Package packetlab emulates a deployment of packet flows in one process and in
+// virtual time: the product's balancers and agents, with stand-ins for the
+// fabric, the platform, callers and backend servers. It checks the product's
+// promises while it runs. Runs with one seed are nearly alike.
+package packetlab
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+)
+
+// One-way delays of the network.
+const (
+	sameZoneDelay  = 200 * time.Microsecond
+	crossZoneDelay = 1400 * time.Microsecond
+	callerDelay    = 3 * time.Millisecond
+	localDelay     = 20 * time.Microsecond
+)
+
+// Ports of all VMs.
+const (
+	frontPort  = 8000
+	backPort   = 7000
+	agentPort  = 7001
+	callerPort = frontPort
+)
+
+// Lab is an emulated deployment.
+type Lab struct {
+	// Findings lists the broken promises in order of time.
+	Findings []string
+	// Log takes the log of balancers and agents.
+	Log zerolog.Logger
+
+	clock   *clockwork.FakeClock
+	started time.Time
+	rand    *rand.Rand
+	events  events
+	order   uint64
+
+	zones     []string
+	balancers []*balancerVM
+	servers   []*serverVM
+	callers   []*caller
+	platform  platform
+	// receivers take datagrams by the address of their socket.
+	receivers map[netip.AddrPort]func(raw []byte, from netip.AddrPort)
+	// vms finds the VM of an IP address.
+	vms map[netip.Addr]*vm
+	// flows holds what the checks know of each flow.
+	flows map[flowKey]*flowRecord
+	// once holds the requests that must not run twice, ran those of them that ran.
+	once, ran map[uint64]bool
+	tally     Tally
+	nextIP    int
+	nextID    uint64
+}
+
+// vm is a virtual machine.
+type vm struct {
+	ip   netip.Addr
+	zone string
+	up   bool
+	// cut VMs exchange nothing with any other.
+	cut bool
+	// epoch grows with every start, so that events of former processes are ignored.
+	epoch int
+	// disturbed is when the VM was last started, stopped or cut.
+	disturbed time.Time
+}
+
+// NewLab returns a deployment without VMs in the given zones.
+func NewLab(seed uint64, zones ...string) *Lab {
+	clock := clockwork.NewFakeClockAt(time.Unix(1_000_000, 0))
+	return &Lab{
+		Log:       zerolog.Nop(),
+		clock:     clock,
+		started:   clock.Now(),
+		rand:      rand.New(rand.NewPCG(seed, seed)),
+		zones:     zones,
+		receivers: make(map[netip.AddrPort]func([]byte, netip.AddrPort)),
+		vms:       make(map[netip.Addr]*vm),
+		flows:     make(map[flowKey]*flowRecord),
+		once:      make(map[uint64]bool),
+		ran:       make(map[uint64]bool),
+	}
+}
+
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+// events is a heap by time.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// after runs a function later.
+func (l *Lab) after(d time.Duration, run func()) {
+	l.order++
+	heap.Push(&l.events, event{l.clock.Now().Add(d), l.order, run})
+}
+
+// every runs a function at intervals for as long as the VM's process lives.
+func (l *Lab) every(v *vm, interval time.Duration, run func()) {
+	epoch := v.epoch
+	l.after(time.Duration(l.rand.Int64N(int64(interval))), func() {
+		l.repeat(v, epoch, interval, run)
+	})
+}
+
+func (l *Lab) repeat(v *vm, epoch int, interval time.Duration, run func()) {
+	if !v.up || v.epoch != epoch {
+		return
+	}
+	run()
+	l.after(interval, func() { l.repeat(v, epoch, interval, run) })
+}
+
+// At runs a function at a time since the start.
+func (l *Lab) At(d time.Duration, run func()) {
+	l.after(d-l.Elapsed(), run)
+}
+
+// Elapsed returns the time since the start.
+func (l *Lab) Elapsed() time.Duration {
+	return l.clock.Since(l.started)
+}
+
+// Run plays until the given time since the start.
+func (l *Lab) Run(until time.Duration) {
+	end := l.started.Add(until)
+	for len(l.events) > 0 && !l.events[0].at.After(end) {
+		e := heap.Pop(&l.events).(event)
+		if d := e.at.Sub(l.clock.Now()); d > 0 {
+			l.clock.Advance(d)
+		}
+		e.run()
+	}
+}
+
+// newVM returns a running VM with an address of its own.
+func (l *Lab) newVM(zone string) *vm {
+	l.nextIP++
+	v := &vm{ip: netip.AddrFrom4([4]byte{10, 0, byte(l.nextIP >> 8), byte(l.nextIP)}), zone: zone, up: true, disturbed: l.clock.Now()}
+	l.vms[v.ip] = v
+	return v
+}
+
+// send carries a datagram between sockets.
+func (l *Lab) send(raw []byte, from, to netip.AddrPort) {
+	source, target := l.vms[from.Addr()], l.vms[to.Addr()]
+	if target == nil || !passes(source, target) {
+		return
+	}
+	copied := append([]byte(nil), raw...)
+	l.after(l.delay(source, target), func() {
+		if receive := l.receivers[to]; receive != nil && passes(source, target) && target.up {
+			receive(copied, from)
+		}
+	})
+}
+
+func passes(a, b *vm) bool {
+	return a == b || (a == nil || !a.cut) && !b.cut
+}
+
+func (l *Lab) delay(a, b *vm) time.Duration {
+	switch {
+	case a == b:
+		return localDelay
+	case a == nil || b.zone == callerZone || a.zone == callerZone:
+		return callerDelay
+	case a.zone == b.zone:
+		return sameZoneDelay
+	default:
+		return crossZoneDelay
+	}
+}
+
+// callerZone is the zone of the VMs of callers.
+const callerZone = "callers"
--- /dev/null
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -0,0 +1,212 @@
+package packetlab
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+)
+
+// logFile is where the log of balancers and agents goes, for tracing a finding.
+var logFile = flag.String("packetlab.log", "", "file that takes the log of balancers and agents")
+
+// The services and kinds of request of the scripts, after the users' brief.
+var (
+	passService   = Service{Name: "pass", Slots: 2, Queue: 8, Cold: 2 * time.Second, ColdFactor: 1.6}
+	portalService = Service{Name: "portal", Slots: 2, Queue: 8, Cold: 2 * time.Second, ColdFactor: 1.6}
+
+	sessionKind  = Kind{Name: "session", Address: address(1), Long: true, Work: 15 * time.Millisecond, AnswerLen: 2000, Target: 100 * time.Millisecond, Timeout: 1500 * time.Millisecond}
+	purchaseKind = Kind{Name: "purchase", Address: address(2), Once: true, Work: 20 * time.Millisecond, RequestLen: 900, AnswerLen: 600, Target: 120 * time.Millisecond, Timeout: 2 * time.Second}
+	pageKind     = Kind{Name: "page", Address: address(3), Work: 5 * time.Millisecond, AnswerLen: 40_000, Target: 500 * time.Millisecond, Timeout: 8 * time.Second}
+)
+
+// passSpeeds are the speeds of the pass servers, in turn: one in four is slow.
+var passSpeeds = []float64{0.55, 1.2, 1.2, 1.2}
+
+// loadUntil is when callers stop sending; no script plays longer.
+const loadUntil = time.Hour
+
+// TestScenarios plays the scripts in testdata. Each names the load or failure
+// pattern that it answers.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var l *Lab
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "deploy":
+				l = deploy(t, d)
+				return ""
+			case "load":
+				load(t, d, l)
+				return ""
+			case "fault":
+				schedule(t, d, l)
+				return ""
+			case "play":
+				return play(t, d, l)
+			default:
+				d.Fatalf(t, "unknown command %q", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+// deploy builds a deployment: balancers, pass and portal servers are spread over
+// the zones in turn.
+func deploy(t *testing.T, d *datadriven.TestData) *Lab {
+	seed, zones, balancers, pass, portal := 1, 4, 6, 7, 4
+	d.MaybeScanArgs(t, "seed", &seed)
+	d.MaybeScanArgs(t, "zones", &zones)
+	d.MaybeScanArgs(t, "balancers", &balancers)
+	d.MaybeScanArgs(t, "pass", &pass)
+	d.MaybeScanArgs(t, "portal", &portal)
+	names := make([]string, zones)
+	for i := range names {
+		names[i] = fmt.Sprintf("zone-%c", 'a'+i)
+	}
+	l := NewLab(uint64(seed), names...)
+	if *logFile != "" {
+		f, err := os.Create(*logFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Log = zerolog.New(f).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+			e.Float64("at", l.Elapsed().Seconds())
+		}))
+	}
+	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
+	for i := range pass {
+		l.AddServer(names[i%zones], passService, passSpeeds[i%len(passSpeeds)])
+	}
+	for i := range portal {
+		l.AddServer(names[i%zones], portalService, 1)
+	}
+	for i := range balancers {
+		l.AddBalancer(names[i%zones])
+	}
+	return l
+}
+
+// load adds callers, spread over the zones: each keeps sessions, and sends
+// purchases and pages at the given rates in all.
+func load(t *testing.T, d *datadriven.TestData, l *Lab) {
+	callers, sessions, sessionRate, purchaseRate, pageRate := 98, 3, 292, 83, 25
+	d.MaybeScanArgs(t, "callers", &callers)
+	d.MaybeScanArgs(t, "sessions", &sessions)
+	d.MaybeScanArgs(t, "sessionRate", &sessionRate)
+	d.MaybeScanArgs(t, "purchaseRate", &purchaseRate)
+	d.MaybeScanArgs(t, "pageRate", &pageRate)
+	each := func(rate, users int) time.Duration {
+		return time.Duration(float64(time.Second) * float64(users) / float64(max(rate, 1)))
+	}
+	for i := range callers {
+		c := l.AddCaller(l.zones[i%len(l.zones)])
+		for range sessions {
+			c.Load(sessionKind, each(sessionRate, callers*sessions), loadUntil)
+		}
+		if purchaseRate > 0 {
+			c.Load(purchaseKind, each(purchaseRate, callers), loadUntil)
+		}
+		if pageRate > 0 {
+			c.Load(pageKind, each(pageRate, callers), loadUntil)
+		}
+	}
+}
+
+// schedule reads one fault: its time, its name, and its arguments.
+func schedule(t *testing.T, d *datadriven.TestData, l *Lab) {
+	var at string
+	var index int
+	var factor float64
+	down := "1s"
+	d.ScanArgs(t, "at", &at)
+	d.MaybeScanArgs(t, "index", &index)
+	d.MaybeScanArgs(t, "for", &down)
+	var factorText string
+	if d.MaybeScanArgs(t, "factor", &factorText); factorText != "" {
+		_, _ = fmt.Sscan(factorText, &factor)
+	}
+	name, length := d.CmdArgs[0].Key, duration(t, down)
+	l.At(duration(t, at), func() {
+		switch name {
+		case "restartBalancer":
+			l.RestartBalancer(index, length)
+		case "loseBalancer":
+			l.LoseBalancer(index)
+		case "restartAgent":
+			l.RestartAgent(index, length)
+		case "crashServer":
+			l.CrashServer(index, length)
+		case "loseServer":
+			l.LoseServer(index)
+		case "drainServer":
+			l.DrainServer(index, length)
+		case "slowServer":
+			l.SlowServer(index, factor, length)
+		case "reuseAddress":
+			l.ReuseAddress(index, portalService, length)
+		case "losePower":
+			l.LosePower(length)
+		case "killAll":
+			l.KillAll(length)
+		case "platformDown":
+			l.PlatformDown(length, true)
+		case "cutBalancer":
+			l.CutBalancer(index, length)
+		case "addBalancer":
+			l.AddBalancer(l.zones[index%len(l.zones)])
+		case "addServer":
+			l.AddServer(l.zones[index%len(l.zones)], passService, passSpeeds[1])
+		default:
+			t.Errorf("unknown fault %q", name)
+		}
+	})
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// play runs until the given time, and compares the requests that ended since
+// the latest play with the given least shares: served at all, and served in time.
+func play(t *testing.T, d *datadriven.TestData, l *Lab) string {
+	var until string
+	served, inTime := "0", "0"
+	d.ScanArgs(t, "until", &until)
+	d.MaybeScanArgs(t, "served", &served)
+	d.MaybeScanArgs(t, "inTime", &inTime)
+	before := l.tally
+	l.Run(duration(t, until))
+	got := l.tally.minus(before)
+	t.Logf("%s: until %s: %+v", d.Pos, until, got)
+	var out strings.Builder
+	for _, f := range l.Findings {
+		_, _ = fmt.Fprintln(&out, f)
+	}
+	l.Findings = nil
+	compare(&out, "served", got.InTime+got.Late, got.Total(), served)
+	compare(&out, "in time", got.InTime, got.Total(), inTime)
+	if out.Len() == 0 {
+		return "promises kept"
+	}
+	return out.String()
+}
+
+func compare(out *strings.Builder, what string, count, total int, least string) {
+	var want float64
+	_, _ = fmt.Sscan(least, &want)
+	if share := float64(count) / float64(max(total, 1)); share < want || total == 0 {
+		_, _ = fmt.Fprintf(out, "%s: %d of %d, want a share of %s\n", what, count, total, least)
+	}
+}
--- /dev/null
+++ b/internal/lab/packetlab/server.go
@@ -0,0 +1,268 @@
+package packetlab
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/packetagent"
+)
+
+// Service describes the backend servers of a service.
+type Service struct {
+	// Name is the name of the service.
+	Name string
+	// Slots is how many requests a server runs at a time.
+	Slots int
+	// Queue is how many more requests wait in a server; it answers others with a failure.
+	Queue int
+	// Cold is how long a server is slow after its start.
+	Cold time.Duration
+	// ColdFactor is how much slower it is then.
+	ColdFactor float64
+}
+
+// serverVM is a VM with a backend server and its agent.
+type serverVM struct {
+	*vm
+	lab     *Lab
+	id      int
+	service Service
+	// speed divides the work of requests; slow multiplies it for a time.
+	speed, slow float64
+	state       catalog.State
+	born        time.Time
+	// alive is false while the server is down and its agent runs.
+	alive bool
+	// drainedAt is when the platform listed the server as draining; zero if it did not.
+	drainedAt time.Time
+
+	agent      *packetagent.Agent
+	agentEpoch int
+	flows      map[packet.Flow]*serverFlow
+	busy       int
+	waiting    []func()
+}
+
+// serverFlow is a flow at a server.
+type serverFlow struct {
+	stream
+	name    packet.Flow
+	opened  bool
+	request []byte
+}
+
+func (s *serverVM) app() netip.AddrPort      { return netip.AddrPortFrom(s.ip, 9000) }
+func (s *serverVM) outbound() netip.AddrPort { return netip.AddrPortFrom(s.ip, 9001) }
+func (s *serverVM) relay() netip.AddrPort    { return netip.AddrPortFrom(s.ip, agentPort) }
+
+// AddServer starts a backend server with its agent.
+func (l *Lab) AddServer(zone string, service Service, speed float64) *serverVM {
+	s := &serverVM{vm: l.newVM(zone), lab: l, service: service, speed: speed, slow: 1}
+	l.servers = append(l.servers, s)
+	l.receivers[s.app()] = s.receive
+	s.startServer()
+	s.startAgent()
+	return s
+}
+
+// startServer starts the server without any flow.
+func (s *serverVM) startServer() {
+	s.lab.nextID++
+	s.id = int(s.lab.nextID)
+	s.alive, s.state, s.born = true, catalog.Ready, s.lab.clock.Now()
+	s.drainedAt = time.Time{}
+	s.flows = make(map[packet.Flow]*serverFlow)
+	s.busy, s.waiting = 0, nil
+	s.lab.platform.register(s)
+}
+
+// startAgent starts the agent with an empty table.
+func (s *serverVM) startAgent() {
+	l := s.lab
+	s.epoch++
+	s.agent = packetagent.NewWiredAgent(packetagent.Config{
+		Service:    catalog.ServiceID(s.service.Name),
+		Relay:      s.relay(),
+		CallerPort: callerPort,
+		MaxFlow:    maxFlow,
+		Codec:      codec(),
+		Clock:      l.clock,
+		Log:        l.Log.With().Str("vm", s.ip.String()).Logger(),
+	}, packetagent.Wire{
+		ToFleet:  func(raw []byte, to netip.AddrPort) error { l.send(raw, s.relay(), to); return nil },
+		ToServer: func(raw []byte) error { l.send(raw, s.outbound(), s.app()); return nil },
+	})
+	l.receivers[s.relay()] = s.agent.FromFleet
+	l.receivers[s.outbound()] = func(raw []byte, _ netip.AddrPort) { s.agent.FromServer(raw) }
+	l.every(s.vm, packetagent.MaintainInterval, s.agent.Maintain)
+}
+
+// stopAgent ends the agent; the server lives on.
+func (s *serverVM) stopAgent() {
+	s.epoch++
+	delete(s.lab.receivers, s.relay())
+	delete(s.lab.receivers, s.outbound())
+	s.disturbed = s.lab.clock.Now()
+}
+
+// crash ends the server; its agent lives on.
+func (s *serverVM) crash() {
+	s.alive = false
+	s.flows = nil
+	s.disturbed = s.lab.clock.Now()
+}
+
+// receive takes a packet from the agent.
+func (s *serverVM) receive(raw []byte, _ netip.AddrPort) {
+	if !s.alive {
+		return
+	}
+	p, ok := parse(raw)
+	if !ok {
+		return
+	}
+	f := p.SentFlow()
+	flow := s.flows[f]
+	s.lab.reached(s, f, flow != nil || p.Syn)
+	switch {
+	case p.Syn:
+		s.open(f, p)
+	case flow == nil:
+		p.Bounced = true
+		s.lab.send(put(p), s.app(), s.outbound())
+	case p.Reset:
+		s.lab.flowClosed(f)
+		delete(s.flows, f)
+	case flow.closed && p.Fin:
+		s.reply(f, packet.Packet{Ack: true, Seq: flow.next + 1, AckSeq: p.NextSeq()})
+	case flow.closed && len(p.Data) > 0:
+		s.reply(f, packet.Packet{Reset: true, Seq: p.AckSeq})
+	case flow.closed:
+	case p.Fin:
+		s.lab.flowClosed(f)
+		s.reply(f, packet.Packet{Ack: true, Fin: true, Seq: flow.next, AckSeq: p.NextSeq()})
+		flow.closed = true
+	default:
+		if !flow.opened {
+			if p.AckSeq != flow.next {
+				return
+			}
+			flow.opened = true
+			s.lab.flowOpened(s, f)
+		}
+		flow.handle(p)
+	}
+}
+
+func (s *serverVM) reply(f packet.Flow, p packet.Packet) {
+	p.SourceIP, p.SourcePort = f.ServiceIP, f.ServicePort
+	p.DestinationIP, p.DestinationPort = f.CallerIP, f.CallerPort
+	s.lab.send(put(p), s.app(), s.outbound())
+}
+
+// open answers a SYN.
+func (s *serverVM) open(f packet.Flow, p packet.Packet) {
+	flow := s.flows[f]
+	if flow == nil {
+		first := s.lab.rand.Uint32()
+		flow = &serverFlow{name: f, stream: stream{lab: s.lab, next: first + 1, acked: first + 1, expected: p.Seq + 1}}
+		flow.send = func(p packet.Packet) { s.reply(f, p) }
+		flow.received = func(data []byte) { s.receiveData(f, flow, data) }
+		flow.failed = func() { s.lab.flowClosed(f); delete(s.flows, f); flow.closed = true }
+		s.flows[f] = flow
+	}
+	s.lab.accepted(s, f)
+	s.reply(f, packet.Packet{Syn: true, Ack: true, Seq: flow.next - 1, AckSeq: p.Seq + 1})
+}
+
+// Layout of a request: its number, the work in microseconds, the length of the
+// request, the length of the answer, and padding.
+const requestHeaderLen = 8 + 4 + 4 + 4
+
+// receiveData takes bytes of a request, and runs it when it is whole.
+func (s *serverVM) receiveData(f packet.Flow, flow *serverFlow, data []byte) {
+	flow.request = append(flow.request, data...)
+	if len(flow.request) < requestHeaderLen {
+		return
+	}
+	length := int(binary.BigEndian.Uint32(flow.request[12:]))
+	if len(flow.request) < length {
+		return
+	}
+	request := flow.request[:length]
+	flow.request = flow.request[length:]
+	if s.busy >= s.service.Slots+s.service.Queue {
+		s.lab.tally.Shed++
+		flow.write(answer(request, false))
+		return
+	}
+	s.busy++
+	s.waiting = append(s.waiting, func() { s.work(flow, request) })
+	if s.busy <= s.service.Slots {
+		s.startNext()
+	}
+}
+
+func (s *serverVM) startNext() {
+	if len(s.waiting) > 0 {
+		next := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		next()
+	}
+}
+
+func (s *serverVM) work(flow *serverFlow, request []byte) {
+	id := binary.BigEndian.Uint64(request)
+	s.lab.runs(id)
+	took := float64(binary.BigEndian.Uint32(request[8:])) / s.speed * s.slow
+	if s.lab.clock.Since(s.born) < s.service.Cold {
+		took *= s.service.ColdFactor
+	}
+	born := s.born
+	s.lab.after(time.Duration(took)*time.Microsecond, func() {
+		if !s.alive || s.born != born {
+			return
+		}
+		s.busy--
+		s.startNext()
+		if flow.closed {
+			return
+		}
+		flow.write(answer(request, true))
+		if s.state == catalog.Draining {
+			s.lab.after(drainLinger, func() { s.finish(flow) })
+		}
+	})
+}
+
+// drainLinger is how long a draining server keeps a flow after an answer, so
+// that the answer arrives first.
+const drainLinger = 20 * time.Millisecond
+
+// finish closes a flow from the server's side.
+func (s *serverVM) finish(flow *serverFlow) {
+	if flow.closed || !s.alive {
+		return
+	}
+	s.lab.flowClosed(flow.name)
+	s.reply(flow.name, packet.Packet{Ack: true, Fin: true, Seq: flow.next, AckSeq: flow.expected})
+}
+
+// answer returns the answer to a request: its number, whether it was served,
+// the length of the answer, and padding.
+func answer(request []byte, served bool) []byte {
+	length := answerHeaderLen
+	if served {
+		length = max(length, int(binary.BigEndian.Uint32(request[16:])))
+	}
+	b := make([]byte, length)
+	copy(b, request[:8])
+	b[8] = bit(served, 1)
+	binary.BigEndian.PutUint32(b[9:], uint32(length))
+	return b
+}
+
+const answerHeaderLen = 8 + 1 + 4
--- /dev/null
+++ b/internal/lab/packetlab/stream.go
@@ -0,0 +1,116 @@
+package packetlab
+
+import (
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+)
+
+// Parameters of the emulated transport.
+const (
+	maxData         = 1200
+	window          = 16
+	firstRetransmit = 200 * time.Millisecond
+	lastRetransmit  = 1600 * time.Millisecond
+	maxRetransmits  = 8
+)
+
+// stream is one end of a flow.
+type stream struct {
+	lab *Lab
+	// send transmits a packet towards the other end.
+	send func(p packet.Packet)
+	// received is called with data in order.
+	received func(data []byte)
+	// failed is called when the other end does not acknowledge.
+	failed func()
+
+	next, acked, expected uint32
+	// unsent and unacked hold packets in order.
+	unsent, unacked []packet.Packet
+	early           map[uint32][]byte
+	unackedPackets  int
+	retries         int
+	timer           int
+	closed          bool
+}
+
+// write queues data.
+func (s *stream) write(data []byte) {
+	for len(data) > 0 {
+		n := min(len(data), maxData)
+		s.unsent = append(s.unsent, packet.Packet{Ack: true, Seq: s.next, Data: data[:n]})
+		s.next += uint32(n)
+		data = data[n:]
+	}
+	s.flush()
+}
+
+func (s *stream) flush() {
+	for len(s.unsent) > 0 && len(s.unacked) < window {
+		p := s.unsent[0]
+		s.unsent = s.unsent[1:]
+		s.unacked = append(s.unacked, p)
+		s.transmit(p)
+		if len(s.unacked) == 1 {
+			s.arm(firstRetransmit)
+		}
+	}
+}
+
+func (s *stream) transmit(p packet.Packet) {
+	p.AckSeq = s.expected
+	s.send(p)
+}
+
+// arm starts the timer of retransmissions anew.
+func (s *stream) arm(d time.Duration) {
+	s.timer++
+	timer := s.timer
+	s.lab.after(d, func() {
+		if s.closed || timer != s.timer || len(s.unacked) == 0 {
+			return
+		}
+		if s.retries++; s.retries > maxRetransmits {
+			s.failed()
+			return
+		}
+		s.transmit(s.unacked[0])
+		s.arm(min(2*d, lastRetransmit))
+	})
+}
+
+// handle takes a packet of the other end of an open flow.
+func (s *stream) handle(p packet.Packet) {
+	if packet.SeqAfter(p.AckSeq, s.acked) {
+		s.acked, s.retries = p.AckSeq, 0
+		for len(s.unacked) > 0 && !packet.SeqAfter(s.unacked[0].NextSeq(), s.acked) {
+			s.unacked = s.unacked[1:]
+		}
+		s.arm(firstRetransmit)
+		s.flush()
+	}
+	if len(p.Data) == 0 {
+		return
+	}
+	s.take(p)
+	if s.unackedPackets++; s.unackedPackets >= 2 || len(p.Data) < maxData {
+		s.unackedPackets = 0
+		s.transmit(packet.Packet{Ack: true, Seq: s.next})
+	}
+}
+
+// take delivers data in order.
+func (s *stream) take(p packet.Packet) {
+	if s.early == nil {
+		s.early = make(map[uint32][]byte)
+	}
+	if !packet.SeqAfter(s.expected, p.Seq) {
+		s.early[p.Seq] = p.Data
+	}
+	for data, ok := s.early[s.expected]; ok; data, ok = s.early[s.expected] {
+		delete(s.early, s.expected)
+		s.expected += uint32(len(data))
+		s.received(data)
+	}
+}
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -14,7 +14,6 @@
 // readRelay takes what balancers and other agents send.
 func (a *Agent) readRelay() {
 	buf := make([]byte, steer.MaxLen+maxDatagramBytes)
-	var e steer.Envelope
 	for {
 		n, from, err := a.relay.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -24,11 +23,13 @@
 			a.counts.Malformed.Add(1)
 			continue
 		}
-		a.handleRelay(&e, buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		a.FromFleet(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
-func (a *Agent) handleRelay(e *steer.Envelope, raw []byte, from netip.AddrPort) {
+// FromFleet takes a datagram of a balancer or another agent. It may change raw.
+func (a *Agent) FromFleet(raw []byte, from netip.AddrPort) {
+	var e steer.Envelope
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -52,10 +53,10 @@
 		a.slots = int(s)
 	}
 	if p.Syn && !p.Ack {
-		a.handleSyn(e, p, raw, rest, now)
+		a.handleSyn(&e, p, raw, rest, now)
 		return
 	}
-	a.handlePacket(e, p, raw, rest, now)
+	a.handlePacket(&e, p, raw, rest, now)
 }
 
 // handleSyn admits a new flow, or passes it to the next candidate.
@@ -260,7 +261,7 @@
 	if a.unanswered.IsZero() && (p.Syn || p.Fin || len(p.Data) > 0) {
 		a.unanswered = now
 	}
-	if _, err := a.outbound.WriteToUDPAddrPort(rest, a.config.Server); err != nil {
+	if err := a.wire.ToServer(rest); err != nil {
 		a.counts.SendFailed.Add(1)
 	}
 }
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -12,8 +12,8 @@
 
 // Timing of the work at intervals.
 const (
-	// maintainInterval is the pause between rounds.
-	maintainInterval = 50 * time.Millisecond
+	// MaintainInterval is the pause between rounds.
+	MaintainInterval = 50 * time.Millisecond
 	// reportInterval is the pause between reports of a changed load.
 	reportInterval = 100 * time.Millisecond
 	// listenFor is how long a balancer gets reports after its latest message.
@@ -36,22 +36,26 @@
 
 // maintain does the work at intervals until the context ends.
 func (a *Agent) maintain(ctx context.Context) {
-	swept := a.config.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-a.config.Clock.After(maintainInterval):
+		case <-a.config.Clock.After(MaintainInterval):
 		}
-		now := a.config.Clock.Now()
-		a.mu.Lock()
-		a.expire(now)
-		a.reportChange(now)
-		if now.Sub(swept) >= sweepInterval {
-			swept = now
-			a.sweep(now)
-		}
-		a.mu.Unlock()
+		a.Maintain()
+	}
+}
+
+// Maintain does the work that is due.
+func (a *Agent) Maintain() {
+	now := a.config.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	a.reportChange(now)
+	if now.Sub(a.swept) >= sweepInterval {
+		a.swept = now
+		a.sweep(now)
 	}
 }
 
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -24,11 +24,12 @@
 			a.counts.SendFailed.Add(1)
 			continue
 		}
-		a.handleOutbound(buf[:n])
+		a.FromServer(buf[:n])
 	}
 }
 
-func (a *Agent) handleOutbound(raw []byte) {
+// FromServer takes a packet of the server. It may change raw.
+func (a *Agent) FromServer(raw []byte) {
 	p, ok := a.config.Codec.Parse(raw)
 	if !ok {
 		a.counts.Malformed.Add(1)
@@ -91,7 +92,7 @@
 	flow := p.SentFlow()
 	delete(a.asked, flow)
 	if entry := a.table.Get(flow); entry != nil {
-		held := entry.State != flowtable.Opening && entry.Holds(p)
+		held := entry.State == flowtable.Open && entry.Holds(p)
 		a.cancel(entry)
 		a.table.Remove(flow)
 		a.fill(now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -51,13 +51,17 @@
 
 // Agent carries packet flows. It is safe for concurrent use.
 type Agent struct {
-	config   Config
+	config Config
+	wire   Wire
+	// relay and outbound are nil in a wired agent.
 	relay    *net.UDPConn
 	outbound *net.UDPConn
 	started  time.Time
 	counts   Counts
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// swept is when old entries were last removed.
+	swept   time.Time
 	table   *flowtable.Table
 	queue   dispatch.Queue
 	service servicetime.Estimator
@@ -102,6 +106,14 @@
 	concurrent int
 }
 
+// Wire sends what an agent sends. Datagrams may be reused after the call.
+type Wire struct {
+	// ToFleet sends a datagram to a balancer, another agent or a caller.
+	ToFleet func(raw []byte, to netip.AddrPort) error
+	// ToServer sends a packet to the server.
+	ToServer func(raw []byte) error
+}
+
 // NewAgent opens the sockets of an agent.
 func NewAgent(c Config) (*Agent, error) {
 	relay, err := listen(c.Relay)
@@ -113,19 +125,36 @@
 		_ = relay.Close()
 		return nil, merry.Prepend(err, "outbound")
 	}
+	a := NewWiredAgent(c, Wire{
+		ToFleet: func(raw []byte, to netip.AddrPort) error {
+			_, err := relay.WriteToUDPAddrPort(raw, to)
+			return err
+		},
+		ToServer: func(raw []byte) error {
+			_, err := outbound.WriteToUDPAddrPort(raw, c.Server)
+			return err
+		},
+	})
+	a.relay, a.outbound = relay, outbound
+	return a, nil
+}
+
+// NewWiredAgent returns an agent without sockets. Its datagrams are passed to
+// FromFleet and FromServer, and Maintain is called every MaintainInterval.
+func NewWiredAgent(c Config, w Wire) *Agent {
 	now := c.Clock.Now()
 	return &Agent{
 		config:    c,
-		relay:     relay,
-		outbound:  outbound,
+		wire:      w,
 		started:   now,
+		swept:     now,
 		table:     flowtable.NewTable(),
 		running:   make(map[packet.Flow]running),
 		asked:     make(map[packet.Flow]asking),
 		expected:  make(map[packet.Flow]time.Time),
 		listeners: make(map[netip.AddrPort]time.Time),
 		rate:      rateMeter{since: now},
-	}, nil
+	}
 }
 
 func listen(a netip.AddrPort) (*net.UDPConn, error) {
@@ -170,7 +199,7 @@
 }
 
 func (a *Agent) send(raw []byte, to netip.AddrPort) {
-	if _, err := a.relay.WriteToUDPAddrPort(raw, to); err != nil {
+	if err := a.wire.ToFleet(raw, to); err != nil {
 		a.counts.SendFailed.Add(1)
 	}
 }
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -16,9 +16,8 @@
 
 // readFront forwards packets of callers.
 func (b *Balancer) readFront() {
-	buf := make([]byte, steer.MaxLen+maxDatagramBytes)
 	for {
-		n, _, err := b.front.ReadFromUDPAddrPort(buf[steer.MaxLen:])
+		n, _, err := b.front.ReadFromUDPAddrPort(b.buf[steer.MaxLen:])
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -26,13 +25,19 @@
 			b.counts.Malformed.Add(1)
 			continue
 		}
-		b.lastPacket.Store(int64(b.config.Clock.Since(b.started)))
-		b.forward(buf[:steer.MaxLen+n])
+		b.forward(b.buf[:steer.MaxLen+n])
 	}
 }
 
+// FromCaller forwards a packet of a caller. It is called by one task at a time.
+func (b *Balancer) FromCaller(raw []byte) {
+	n := copy(b.buf[steer.MaxLen:], raw)
+	b.forward(b.buf[:steer.MaxLen+n])
+}
+
 // forward routes one packet, which begins at steer.MaxLen in buf.
 func (b *Balancer) forward(buf []byte) {
+	b.lastPacket.Store(int64(b.config.Clock.Since(b.started)))
 	p, ok := b.config.Codec.Parse(buf[steer.MaxLen:])
 	if !ok || p.Bounced {
 		b.counts.Malformed.Add(1)
@@ -95,10 +100,13 @@
 	if e.Count > 0 {
 		b.selection.Placed(e.Candidates[0].Agent, now)
 	}
+	hopeless := e.Count == 0 && b.selection.Hopeless(service, now)
 	b.mu.Unlock()
 	if e.Count == 0 {
 		b.counts.NoServer.Add(1)
-		b.refuse(flow, p, service)
+		if hopeless {
+			b.refuse(flow, p, service)
+		}
 		return
 	}
 	b.counts.Placed.Add(1)
@@ -159,7 +167,7 @@
 	var raw [packet.ResetLen]byte
 	n := b.config.Codec.PutReset(raw[:], flow, seq)
 	to := netip.AddrPortFrom(flow.Caller().Addr(), b.config.Front.Port())
-	if _, err := b.front.WriteToUDPAddrPort(raw[:n], to); err != nil {
+	if err := b.wire.ToCaller(raw[:n], to); err != nil {
 		b.counts.SendFailed.Add(1)
 	}
 }
@@ -176,11 +184,12 @@
 			b.counts.Malformed.Add(1)
 			continue
 		}
-		b.handleBack(ctx, buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		b.FromFleet(ctx, buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
-func (b *Balancer) handleBack(ctx context.Context, raw []byte, from netip.AddrPort) {
+// FromFleet takes a datagram of an agent or another balancer.
+func (b *Balancer) FromFleet(ctx context.Context, raw []byte, from netip.AddrPort) {
 	kind, ok := steer.KindOf(raw)
 	switch {
 	case ok && kind == steer.Report:
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -25,8 +25,8 @@
 const (
 	// cacheLimit bounds each of the two generations of the cache, in flows.
 	cacheLimit = 200_000
-	// pingInterval is the pause between rounds of pings.
-	pingInterval = 250 * time.Millisecond
+	// PingInterval is the pause between rounds of pings.
+	PingInterval = 250 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is read.
 	maxDatagramBytes = 2048
 	// socketBufferBytes is the size of the kernel's receive buffers.
@@ -60,8 +60,12 @@
 // Balancer forwards packets. It is safe for concurrent use.
 type Balancer struct {
 	config Config
-	front  *net.UDPConn
-	back   *net.UDPConn
+	wire   Wire
+	// front and back are nil in a wired balancer.
+	front *net.UDPConn
+	back  *net.UDPConn
+	// buf holds the packet that FromCaller forwards, with room for its envelope.
+	buf    []byte
 	cache  *recent.Map[packet.Flow, place]
 	counts Counts
 	// lastPacket is when the latest packet of a caller came, in nanoseconds since
@@ -85,6 +89,14 @@
 	confirmed bool
 }
 
+// Wire sends what a balancer sends. Datagrams may be reused after the call.
+type Wire struct {
+	// ToFleet sends a datagram to an agent or another balancer.
+	ToFleet func(raw []byte, to netip.AddrPort) error
+	// ToCaller sends a packet to a caller.
+	ToCaller func(raw []byte, to netip.AddrPort) error
+}
+
 // NewBalancer opens the sockets of a balancer.
 func NewBalancer(c Config) (*Balancer, error) {
 	front, err := listen(c.Front)
@@ -96,14 +108,29 @@
 		_ = front.Close()
 		return nil, merry.Prepend(err, "back")
 	}
+	b := NewWiredBalancer(c, Wire{ToFleet: writeTo(back), ToCaller: writeTo(front)})
+	b.front, b.back = front, back
+	return b, nil
+}
+
+// NewWiredBalancer returns a balancer without sockets. Its datagrams are passed
+// to FromCaller and FromFleet, and PingAgents is called every PingInterval.
+func NewWiredBalancer(c Config, w Wire) *Balancer {
 	return &Balancer{
 		config:    c,
-		front:     front,
-		back:      back,
+		wire:      w,
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow),
 		started:   c.Clock.Now(),
-	}, nil
+		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
+	}
+}
+
+func writeTo(c *net.UDPConn) func(raw []byte, to netip.AddrPort) error {
+	return func(raw []byte, to netip.AddrPort) error {
+		_, err := c.WriteToUDPAddrPort(raw, to)
+		return err
+	}
 }
 
 func listen(a netip.AddrPort) (*net.UDPConn, error) {
@@ -140,31 +167,35 @@
 
 // Send sends a datagram to another balancer.
 func (b *Balancer) Send(raw []byte, to netip.AddrPort) {
-	if _, err := b.back.WriteToUDPAddrPort(raw, to); err != nil {
+	if err := b.wire.ToFleet(raw, to); err != nil {
 		b.counts.SendFailed.Add(1)
 	}
 }
 
-// pingAgents asks agents for reports that have not sent one lately.
+// pingAgents asks for reports at intervals until the context ends.
 func (b *Balancer) pingAgents(ctx context.Context) {
-	var ping [2]byte
-	n := steer.PutPing(ping[:])
-	var stale []netip.AddrPort
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-b.config.Clock.After(pingInterval):
-		}
-		now := b.config.Clock.Now()
-		b.mu.Lock()
-		stale = b.selection.Stale(now.Add(-pingInterval), now, stale[:0])
-		for _, a := range stale {
-			b.selection.Asked(a, now)
-		}
-		b.mu.Unlock()
-		for _, a := range stale {
-			b.Send(ping[:n], a)
+		case <-b.config.Clock.After(PingInterval):
 		}
+		b.PingAgents()
+	}
+}
+
+// PingAgents asks agents for reports that have not sent one lately.
+func (b *Balancer) PingAgents() {
+	var ping [steer.PingLen]byte
+	steer.PutPing(ping[:])
+	now := b.config.Clock.Now()
+	b.mu.Lock()
+	stale := b.selection.Stale(now.Add(-PingInterval), nil)
+	for _, a := range stale {
+		b.selection.Asked(a, now)
+	}
+	b.mu.Unlock()
+	for _, a := range stale {
+		b.Send(ping[:], a)
 	}
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -71,7 +71,9 @@
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
-	scored    []scored
+	// emptySince holds when the last usable server of a service was lost.
+	emptySince map[string]time.Time
+	scored     []scored
 }
 
 type scored struct {
@@ -84,12 +86,13 @@
 // their server was last listed.
 func NewSelection(zone string, agentPort uint16, retain time.Duration) *Selection {
 	return &Selection{
-		zone:      zone,
-		port:      agentPort,
-		retain:    retain,
-		ranker:    rendezvous.NewRanker(nil),
-		agents:    make(map[netip.AddrPort]*Agent),
-		byService: make(map[string][]*Agent),
+		emptySince: make(map[string]time.Time),
+		zone:       zone,
+		port:       agentPort,
+		retain:     retain,
+		ranker:     rendezvous.NewRanker(nil),
+		agents:     make(map[netip.AddrPort]*Agent),
+		byService:  make(map[string][]*Agent),
 	}
 }
 
@@ -187,7 +190,7 @@
 }
 
 // Stale appends the agents without a report since the given time to list.
-func (s *Selection) Stale(since, now time.Time, list []netip.AddrPort) []netip.AddrPort {
+func (s *Selection) Stale(since time.Time, list []netip.AddrPort) []netip.AddrPort {
 	for _, a := range s.agents {
 		if a.Heard.Before(since) {
 			list = append(list, a.Address)
@@ -203,6 +206,13 @@
 	return s.ranker.Hash(b[:])
 }
 
+// Hopeless reports whether a service has had no usable server for so long that
+// none is about to return: entries that lapsed in an outage are back sooner.
+func (s *Selection) Hopeless(service string, now time.Time) bool {
+	since, empty := s.emptySince[service]
+	return empty && now.Sub(since) > goneAfter
+}
+
 // Choices adds the agents that a new flow of the service should be offered to,
 // best first.
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
@@ -212,6 +222,11 @@
 			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
 		}
 	}
+	if len(s.scored) > 0 {
+		delete(s.emptySince, service)
+	} else if _, ok := s.emptySince[service]; !ok {
+		s.emptySince[service] = now
+	}
 	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	s.scored = s.scored[:min(len(s.scored), ranked)]
 	perFlow := s.requestsPerFlow()
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -83,10 +83,12 @@
 	}, packet.ParseFlow(b[reportFlowOffset:]), true
 }
 
-// PutPing writes a ping into b and returns its length.
-func PutPing(b []byte) int {
+// PingLen is the length of a ping, in bytes.
+const PingLen = 2
+
+// PutPing writes a ping into b, which holds at least PingLen bytes.
+func PutPing(b []byte) {
 	b[0], b[kindOffset] = magic, byte(Ping)
-	return 2
 }
 
 // PutLost writes a notice that no agent holds the flow into b, which holds at
