Search for flows page by page where a service has many servers

A packet whose flow is at none of a page's agents now comes back to the balancer, which sends it along the next page; flows are reset only after the last one.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -173,6 +173,16 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// Services returns the services that may hold a flow with the given hash: first
+// the one that Select returns, then those of the other shares.
+func (r *Route) Services(hash uint64) []string {
+	first := r.Select(hash)
+	if len(r.Shares) == 1 {
+		return []string{first}
+	}
+	return lo.Uniq(append([]string{first}, lo.Map(r.Shares, func(s Share, _ int) string { return s.Service })...))
+}
+
 // ServiceID returns the numeric identity of a service between processes.
 func ServiceID(name string) uint32 {
 	h := fnv.New32a()
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -159,15 +159,20 @@
 	return false
 }
 
-// resend sends a packet with its changed envelope, which has the length that it
-// had in raw, to the candidate in it.
+// resend sends a packet with its changed envelope to the candidate in it.
 func (a *Agent) resend(e *steer.Envelope, raw, rest []byte) {
+	a.transmit(e, raw, rest, e.Self().Agent)
+}
+
+// transmit sends a packet with its changed envelope, which has the length that
+// it had in raw. raw is nil if the packet did not come with its envelope.
+func (a *Agent) transmit(e *steer.Envelope, raw, rest []byte, to netip.AddrPort) {
 	if raw == nil {
 		raw = make([]byte, e.Len()+len(rest))
 		copy(raw[e.Len():], rest)
 	}
 	e.Put(raw)
-	a.send(raw, e.Self().Agent)
+	a.send(raw, to)
 }
 
 // handlePacket delivers a packet of a flow that the server holds, and passes
@@ -206,19 +211,11 @@
 // after the last one of all agents the flow is gone, and its caller is told.
 func (a *Agent) notHeld(e *steer.Envelope, p packet.Packet, raw, rest []byte) {
 	flow := p.SentFlow()
-	if e.Cached {
-		a.counts.Returned.Add(1)
-		a.config.Log.Info().Str("event", "packetReturned").Stringer("flow", flow).Bool("known", a.table.Get(flow) != nil).Send()
-		e.Kind = steer.Return
-		if raw == nil {
-			raw = make([]byte, e.Len()+len(rest))
-			copy(raw[e.Len():], rest)
-		}
-		e.Put(raw)
-		a.send(raw, e.Balancer)
+	if !e.Cached && a.passOn(e, raw, rest) {
 		return
 	}
-	if a.passOn(e, raw, rest) {
+	if e.Cached || e.More {
+		a.returnPacket(e, flow, raw, rest)
 		return
 	}
 	a.lost(e, flow)
@@ -229,6 +226,14 @@
 	}
 }
 
+// returnPacket sends a packet back to its balancer, which searches for the flow.
+func (a *Agent) returnPacket(e *steer.Envelope, flow packet.Flow, raw, rest []byte) {
+	a.counts.Returned.Add(1)
+	a.config.Log.Info().Str("event", "packetReturned").Stringer("flow", flow).Bool("cached", e.Cached).Uint8("page", e.Page).Send()
+	e.Kind = steer.Return
+	a.transmit(e, raw, rest, e.Balancer)
+}
+
 // lost tells the balancer that nobody takes or holds a flow.
 func (a *Agent) lost(e *steer.Envelope, flow packet.Flow) {
 	a.counts.Lost.Add(1)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -53,7 +53,8 @@
 		b.place(buf, p, flow, route)
 		return
 	}
-	if at, ok := b.cache.Get(flow); ok && at.agent.IsValid() {
+	at, ok := b.cache.Get(flow)
+	if ok && at.agent.IsValid() {
 		b.counts.Cached.Add(1)
 		b.cache.Put(flow, at)
 		e := b.envelope(route)
@@ -62,7 +63,7 @@
 		b.send(&e, buf)
 		return
 	}
-	b.walk(buf, flow, route)
+	b.walk(buf, flow, route, at.attempts, 0)
 }
 
 // noRoute refuses new flows to addresses without a route.
@@ -114,37 +115,35 @@
 	b.send(&e, buf)
 }
 
-// walk sends a packet of an unknown flow past the agents that may hold it.
-func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route) {
+// walk sends a packet of an unknown flow past a page of the agents that may
+// hold it.
+func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, attempt, page uint8) {
 	now := b.config.Clock.Now()
-	at, _ := b.cache.Get(flow)
 	e := b.envelope(route)
+	e.Attempt, e.Page = attempt, page
 	b.mu.Lock()
 	hash := b.selection.Hash(flow)
-	service := route.Select(hash)
-	e.Service = catalog.ServiceID(service)
-	e.Complete = true
-	b.aside = b.selection.Walk(&e, b.aside[:0], hash, service, int(at.attempts), now)
-	for _, s := range route.Shares {
-		if s.Service != service {
-			b.aside = b.selection.Walk(&e, b.aside, hash, s.Service, int(at.attempts), now)
-		}
-	}
+	services := route.Services(hash)
+	e.Service = catalog.ServiceID(services[0])
+	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, now)
 	aside := b.aside
 	b.mu.Unlock()
+	if page > 0 {
+		aside = nil
+	}
 	if int(e.Count)+len(aside) == 0 {
 		b.counts.NoServer.Add(1)
 		return
 	}
 	b.counts.Walks.Add(1)
-	b.config.Log.Info().Str("event", "flowSearched").Stringer("flow", flow).Uint8("attempt", at.attempts).
+	b.config.Log.Info().Str("event", "flowSearched").Stringer("flow", flow).Uint8("attempt", attempt).Uint8("page", page).
 		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Send()
-	b.cache.Put(flow, place{attempts: min(at.attempts+1, maxAttempts)})
+	b.cache.Put(flow, place{attempts: min(attempt+1, maxAttempts)})
 	if e.Count > 0 {
 		b.send(&e, buf)
 	}
 	for _, c := range aside {
-		e.Count, e.Complete, e.Candidates[0] = 1, false, c
+		e.Count, e.Complete, e.More, e.Candidates[0] = 1, false, false, c
 		b.send(&e, buf)
 	}
 }
@@ -235,32 +234,32 @@
 	}
 	b.counts.Returned.Add(1)
 	flow := p.SentFlow()
-	at, ok := b.cache.Get(flow)
-	if ok && at.agent == from {
-		at = place{}
-		b.cache.Put(flow, at)
-	}
-	buf := make([]byte, steer.MaxLen+len(rest))
-	copy(buf[steer.MaxLen:], rest)
-	b.forwardReturned(buf, flow, at)
-}
-
-// forwardReturned sends a returned packet to where the flow was found since, or
-// in search of it.
-func (b *Balancer) forwardReturned(buf []byte, flow packet.Flow, at place) {
 	route, ok := b.config.Catalog().Route(flow.Service())
 	if !ok {
 		b.counts.NoRoute.Add(1)
 		return
 	}
-	if at.agent.IsValid() {
-		e := b.envelope(route)
-		e.Cached = true
-		e.Append(steer.Candidate{Agent: at.agent})
-		b.send(&e, buf)
+	buf := make([]byte, steer.MaxLen+len(rest))
+	copy(buf[steer.MaxLen:], rest)
+	if e.More {
+		b.walk(buf, flow, route, e.Attempt, e.Page+1)
 		return
 	}
-	b.walk(buf, flow, route)
+	b.forwardReturned(buf, flow, route, from)
+}
+
+// forwardReturned sends a packet that came back from an agent to where the flow
+// was found since, or in search of it.
+func (b *Balancer) forwardReturned(buf []byte, flow packet.Flow, route *catalog.Route, from netip.AddrPort) {
+	at, _ := b.cache.Get(flow)
+	if !at.agent.IsValid() || at.agent == from {
+		b.walk(buf, flow, route, at.attempts, 0)
+		return
+	}
+	e := b.envelope(route)
+	e.Cached = true
+	e.Append(steer.Candidate{Agent: at.agent})
+	b.send(&e, buf)
 }
 
 // handleLost notes that no agent holds a flow.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -296,34 +296,39 @@
 	return rate / flows
 }
 
-// Walk adds the agents that may hold an unknown flow of the service, most
-// likely first. Later attempts start elsewhere, so that an agent that does not
-// answer cannot hide the others. Complete stays true if the list holds all
-// agents whose servers may live. Agents known not to answer are no part of the
-// list, but are appended to aside: each is sent a copy of its own.
-func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, service string, attempt int, now time.Time) []steer.Candidate {
+// Walk adds a page of the agents of the services that may hold an unknown flow,
+// most likely first. Later attempts start elsewhere, so that an agent that does
+// not answer cannot hide the others. Agents known not to answer are no part of
+// the pages, but are appended to aside: each is sent a copy of its own.
+func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
 	complete := true
-	for _, a := range s.byService[service] {
-		switch {
-		case !a.suspect(now):
-			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
-		case a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter:
-			complete = false
-			fallthrough
-		default:
-			aside = append(aside, candidate(a))
+	for _, service := range services {
+		first := len(s.scored)
+		for _, a := range s.byService[service] {
+			switch {
+			case !a.suspect(now):
+				s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+			case a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter:
+				complete = false
+				fallthrough
+			default:
+				aside = append(aside, candidate(a))
+			}
 		}
+		slices.SortStableFunc(s.scored[first:], func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	}
-	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	e.Complete = e.Complete && complete && int(e.Count)+len(s.scored) <= steer.MaxCandidates
-	for i := range s.scored {
-		at := (i + attempt/2*attemptStep) % len(s.scored)
-		if attempt%2 == 1 {
-			at = len(s.scored) - 1 - at
+	n := len(s.scored)
+	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
+	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
+		at := (i + int(e.Attempt)/2*attemptStep) % n
+		if e.Attempt%2 == 1 {
+			at = n - 1 - at
 		}
 		e.Append(candidate(s.scored[at].agent))
 	}
+	e.More = end < n
+	e.Complete = complete && !e.More
 	return aside
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -19,7 +19,8 @@
 const (
 	// Forward carries a caller's packet to an agent.
 	Forward Kind = iota + 1
-	// Return carries a packet back to its balancer: the agent does not hold the flow.
+	// Return carries a packet back to its balancer: the agent, or every agent of a
+	// page, does not hold the flow.
 	Return
 	// Lost tells a balancer that no candidate holds the flow of a packet.
 	Lost
@@ -36,7 +37,7 @@
 	// MaxCandidates is the longest list of candidates.
 	MaxCandidates = 32
 	// HeaderLen is the length of an envelope without candidates.
-	HeaderLen = 23
+	HeaderLen = 25
 	// MaxLen is the length of an envelope with a full list of candidates.
 	MaxLen = HeaderLen + MaxCandidates*candidateLen
 
@@ -57,6 +58,8 @@
 	balancerOffset  = 14
 	bestOffset      = 20
 	bestDelayOffset = 21
+	pageOffset      = 23
+	attemptOffset   = 24
 )
 
 // Flags of an envelope.
@@ -65,6 +68,7 @@
 	completeFlag
 	takeFlag
 	onceFlag
+	moreFlag
 )
 
 // Candidate is an agent that may hold or take a flow.
@@ -96,8 +100,15 @@
 	Kind Kind
 	// Cached is true if the balancer remembers the agent for this flow.
 	Cached bool
-	// Complete is true if the candidates are all agents of the service.
+	// Complete is true if, with the candidates of this page, all agents of the
+	// service have been asked.
 	Complete bool
+	// More is true if there is a further page of candidates.
+	More bool
+	// Page numbers the pages of a search, from 0.
+	Page uint8
+	// Attempt numbers the searches for the flow, from 0.
+	Attempt uint8
 	// Take is true if the agent is to take a new flow whatever its load.
 	Take bool
 	// Hop is the index of the candidate that the datagram is addressed to; below Count.
@@ -140,7 +151,8 @@
 func (e *Envelope) Put(b []byte) {
 	b[0] = magic
 	b[kindOffset] = byte(e.Kind)
-	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag)
+	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag)
+	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
 	b[hopOffset] = e.Hop
 	b[countOffset] = e.Count
 	b[priorityOffset] = e.Class.Priority
@@ -167,6 +179,8 @@
 	e.Cached = b[flagsOffset]&cachedFlag != 0
 	e.Complete = b[flagsOffset]&completeFlag != 0
 	e.Take = b[flagsOffset]&takeFlag != 0
+	e.More = b[flagsOffset]&moreFlag != 0
+	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
 	e.Hop, e.Count = b[hopOffset], b[countOffset]
 	if e.Count > MaxCandidates || e.Hop >= e.Count || len(b) < e.Len() {
 		return nil, false
