Log each decision with its inputs at a bounded rate, and serve metrics

One line for each placement, admission, search, refusal, held or failed request and change of belief, at most 50 a second for each event and process, through a queue that drops rather than waits; answers in time are sampled. Request IDs are read from the first bytes of a request.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -43,7 +43,7 @@
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log takes events.
-	Log zerolog.Logger
+	Log *eventlog.Log
 }
 
 // Directory keeps the catalog of a balancer. It is safe for concurrent use.
@@ -133,7 +133,7 @@
 	if next == before {
 		return
 	}
-	d.config.Log.Info().Str("event", "routesChanged").Uint64("version", r.Version).
+	d.config.Log.Info("routesChanged").Uint64("version", r.Version).
 		Uint64("former", before.Routes.Version).Int("routes", len(r.List)).Str("source", from).Send()
 	d.config.Changed(next)
 }
@@ -157,7 +157,7 @@
 	}
 	d.mu.Unlock()
 	if changed {
-		d.config.Log.Info().Str("event", "serversChanged").Uint64("revision", s.Revision).
+		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
 	}
 	d.config.Changed(next)
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -121,7 +121,7 @@
 	address := netip.AddrPortFrom(from.Addr(), d.config.Peer.Port())
 	c, err := d.server.Dial(ctx, address.String())
 	if err != nil {
-		d.config.Log.Debug().Str("event", "fetchFailed").Stringer("balancer", from).Err(err).Send()
+		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
 	}
 	defer func() { _ = c.Close() }()
@@ -129,7 +129,7 @@
 	asked := d.config.Clock.Now()
 	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision})
 	if err != nil {
-		d.config.Log.Debug().Str("event", "fetchFailed").Stringer("balancer", from).Err(err).Send()
+		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
 	}
 	d.counts.Fetches.Add(1)
@@ -171,7 +171,7 @@
 func (d *Directory) listen(ctx context.Context) {
 	l, err := net.Listen("tcp4", d.config.Peer.String())
 	if err != nil {
-		d.config.Log.Error().Str("event", "listenFailed").Stringer("address", d.config.Peer).Err(err).Send()
+		d.config.Log.Error("listenFailed").Stringer("address", d.config.Peer).Err(err).Send()
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -182,7 +182,7 @@
 			return
 		}
 		if err != nil {
-			d.config.Log.Warn().Str("event", "acceptFailed").Err(err).Send()
+			d.config.Log.Warn("acceptFailed").Err(err).Send()
 			d.sleep(ctx, retryInterval)
 			continue
 		}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	for _, f := range faults {
-		d.config.Log.Debug().Str("event", "entryIgnored").Err(f).Send()
+		d.config.Log.Debug("entryIgnored").Err(f).Send()
 	}
 	d.takeServers(servers, d.config.Clock.Since(asked), "platform")
 	return nil
@@ -81,6 +81,11 @@
 	return lo.CountBy(d.live(), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
 }
 
+// Peers returns the number of other balancers that were heard lately.
+func (d *Directory) Peers() int {
+	return len(d.live())
+}
+
 // live returns the other balancers that were heard lately.
 func (d *Directory) live() []netip.AddrPort {
 	now := d.config.Clock.Now()
@@ -102,9 +107,9 @@
 	d.mu.Unlock()
 	switch {
 	case err != nil && before.IsZero():
-		d.config.Log.Warn().Str("event", "platformLost").Err(err).Send()
+		d.config.Log.Warn("platformLost").Err(err).Send()
 	case err == nil && !before.IsZero():
-		d.config.Log.Info().Str("event", "platformRegained").Dur("outage", d.config.Clock.Since(before)).Send()
+		d.config.Log.Info("platformRegained").Dur("outage", d.config.Clock.Since(before)).Send()
 	}
 	if err != nil {
 		d.counts.FailedReads.Add(1)
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,163 @@
+// Package eventlog writes one structured line for each event of a process, with
+// a bounded number of lines for each kind of event, and never waits for the
+// reader of its output.
+package eventlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+// Bounds of the output.
+const (
+	// PerSecond is how many lines of each event are written in a second; ten times
+	// the new flows of a process on a busy day of a small deployment.
+	PerSecond = 50
+	// SamplesPerSecond is how many lines of an event that needs only examples are
+	// written in a second.
+	SamplesPerSecond = 2
+	// queueLines is how many lines wait for a slow reader; at about 300 bytes each
+	// they take half a megabyte.
+	queueLines = 2048
+	// window is the time over which lines are counted.
+	window = time.Second
+)
+
+// Log writes events. It is safe for concurrent use.
+type Log struct {
+	base  zerolog.Logger
+	clock clockwork.Clock
+	// dropped counts lines that a slow reader left no room for.
+	dropped atomic.Uint64
+	// suppressed counts lines above the rate of their event.
+	suppressed atomic.Uint64
+	closer     io.Closer
+
+	mu sync.Mutex
+	// rates holds the lines of each event in the current window.
+	rates map[string]*rate
+}
+
+type rate struct {
+	since time.Time
+	// written and suppressed count lines since then.
+	written, suppressed int
+}
+
+// NewLog returns a log that writes to w through a bounded queue.
+func NewLog(w io.Writer, vm string, clock clockwork.Clock) *Log {
+	l := &Log{clock: clock, rates: make(map[string]*rate)}
+	queue := diode.NewWriter(w, queueLines, 0, func(missed int) { l.dropped.Add(uint64(missed)) })
+	l.closer = queue
+	l.base = zerolog.New(queue).With().Timestamp().Str("vm", vm).Logger()
+	return l
+}
+
+// NewDirectLog returns a log on an existing logger, without a queue.
+func NewDirectLog(base zerolog.Logger, clock clockwork.Clock) *Log {
+	return &Log{base: base, clock: clock, rates: make(map[string]*rate)}
+}
+
+// Close writes what is queued.
+func (l *Log) Close() error {
+	l.Flush()
+	if l.closer == nil {
+		return nil
+	}
+	return l.closer.Close()
+}
+
+// Sample starts a line for an event of which a few examples are enough.
+func (l *Log) Sample(event string) *zerolog.Event {
+	return l.start(l.base.Info, event, SamplesPerSecond)
+}
+
+// Info starts a line for a decision. The result may be nil, on which every
+// method of an event does nothing.
+func (l *Log) Info(event string) *zerolog.Event {
+	return l.start(l.base.Info, event, PerSecond)
+}
+
+// Warn starts a line for a failure.
+func (l *Log) Warn(event string) *zerolog.Event {
+	return l.start(l.base.Warn, event, PerSecond)
+}
+
+// Error starts a line for a fault that needs an operator.
+func (l *Log) Error(event string) *zerolog.Event {
+	return l.start(l.base.Error, event, PerSecond)
+}
+
+// Debug starts a line that is of use in development.
+func (l *Log) Debug(event string) *zerolog.Event {
+	return l.start(l.base.Debug, event, PerSecond)
+}
+
+func (l *Log) start(level func() *zerolog.Event, event string, perSecond int) *zerolog.Event {
+	if !l.admit(event, perSecond) {
+		return nil
+	}
+	e := level()
+	if e == nil {
+		return nil
+	}
+	return e.Str("event", event)
+}
+
+// admit counts a line of an event, and reports whether it may be written.
+func (l *Log) admit(event string, perSecond int) bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rates[event]
+	if r == nil {
+		r = &rate{since: now}
+		l.rates[event] = r
+	}
+	if now.Sub(r.since) >= window {
+		l.summarize(event, r, now)
+	}
+	if r.written >= perSecond {
+		r.suppressed++
+		l.suppressed.Add(1)
+		return false
+	}
+	r.written++
+	return true
+}
+
+// summarize writes how many lines of an event were left out, and starts a window.
+func (l *Log) summarize(event string, r *rate, now time.Time) {
+	if r.suppressed > 0 {
+		l.base.Info().Str("event", "linesSuppressed").Str("of", event).Int("count", r.suppressed).Send()
+	}
+	*r = rate{since: now}
+}
+
+// Flush writes how many lines were left out in windows that have ended.
+func (l *Log) Flush() {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for event, r := range l.rates {
+		if r.suppressed > 0 && now.Sub(r.since) >= window {
+			l.summarize(event, r, now)
+		}
+	}
+}
+
+// Dropped returns how many lines a slow reader left no room for.
+func (l *Log) Dropped() uint64 {
+	return l.dropped.Load()
+}
+
+// Suppressed returns how many lines were above the rate of their event.
+func (l *Log) Suppressed() uint64 {
+	return l.suppressed.Load()
+}
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -47,6 +47,8 @@
 	// RoundTrip is the time between the server's first answer and the caller's next
 	// packet; 0 if unknown.
 	RoundTrip time.Duration
+	// RequestID names the latest request; empty if it bears no name.
+	RequestID string
 	// Requests counts requests since the flow is known here.
 	Requests int
 	// Running is true from the delivery of a request to the first byte of its answer.
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -88,7 +88,7 @@
 		Catalog:   func() *catalog.Catalog { return b.catalog },
 		Digest:    func(context.Context, []byte, netip.AddrPort) {},
 		Clock:     l.clock,
-		Log:       l.Log.With().Str("vm", b.ip.String()).Logger(),
+		Log:       l.eventLog(b.vm),
 	}, packetbalancer.Wire{
 		ToFleet: func(raw []byte, to netip.AddrPort) error { l.send(raw, b.back(), to); return nil },
 		ToCaller: func(raw []byte, to netip.AddrPort) error {
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -12,6 +12,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 )
 
 // One-way delays of the network.
@@ -168,6 +170,11 @@
 	return v
 }
 
+// eventLog returns the log of a process on a VM.
+func (l *Lab) eventLog(v *vm) *eventlog.Log {
+	return eventlog.NewDirectLog(l.Log.With().Str("vm", v.ip.String()).Logger(), l.clock)
+}
+
 // send carries a datagram between sockets.
 func (l *Lab) send(raw []byte, from, to netip.AddrPort) {
 	source, target := l.vms[from.Addr()], l.vms[to.Addr()]
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -89,8 +89,9 @@
 		CallerPort: callerPort,
 		MaxFlow:    maxFlow,
 		Codec:      codec(),
+		Observe:    func(bool, time.Duration, time.Duration) {},
 		Clock:      l.clock,
-		Log:        l.Log.With().Str("vm", s.ip.String()).Logger(),
+		Log:        l.eventLog(s.vm),
 	}, packetagent.Wire{
 		ToFleet:  func(raw []byte, to netip.AddrPort) error { l.send(raw, s.relay(), to); return nil },
 		ToServer: func(raw []byte) error { l.send(raw, s.outbound(), s.app()); return nil },
--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -26,6 +26,10 @@
 	Expired atomic.Uint64
 	// Answered counts answers of the server.
 	Answered atomic.Uint64
+	// ServerFailures counts answers that tell of a failure of the server.
+	ServerFailures atomic.Uint64
+	// Overdue counts requests whose answer the server owes for too long.
+	Overdue atomic.Uint64
 	// WrongService counts new flows for another service.
 	WrongService atomic.Uint64
 	// Malformed counts datagrams that could not be decoded.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -64,6 +64,7 @@
 	flow := p.SentFlow()
 	if e.Service != a.config.Service {
 		a.counts.WrongService.Add(1)
+		a.config.Log.Warn("flowForOtherService").Stringer("flow", flow).Stringer("balancer", e.Balancer).Send()
 		a.passSyn(e, flow, raw, rest)
 		return
 	}
@@ -86,7 +87,8 @@
 		a.refuse(flow, p, delay, timeout)
 		return
 	}
-	a.config.Log.Info().Str("event", "flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).Send()
+	a.config.Log.Info("flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).
+		Uint32("copy", p.AckSeq).Dur("delay", delay).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Send()
 	entry := a.table.Add(flow, now)
 	entry.Class, entry.Opened = e.Class, now.Add(-copyAge(p.AckSeq))
 	a.expected[flow] = now
@@ -121,6 +123,8 @@
 	if millis := uint16(min(delay.Milliseconds(), silentDelay.Milliseconds())); e.Best == steer.NoBest || millis < e.BestDelayMillis {
 		e.Best, e.BestDelayMillis = e.Hop, millis
 	}
+	a.config.Log.Info("flowPassedOn").Stringer("flow", flow).Uint8("hop", e.Hop).Uint8("of", e.Count).Dur("delay", delay).
+		Int("running", len(a.running)).Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Bool("leaving", a.leaving).Send()
 	return a.passSyn(e, flow, raw, rest)
 }
 
@@ -188,7 +192,7 @@
 	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
 		a.counts.Asked.Add(1)
 		a.asked[flow] = asking{balancer: e.Balancer, class: e.Class, at: now}
-		a.config.Log.Info().Str("event", "serverAsked").Stringer("flow", flow).Uint8("hop", e.Hop).
+		a.config.Log.Info("serverAsked").Stringer("flow", flow).Uint8("hop", e.Hop).
 			Uint8("agents", e.Count).Bool("cached", e.Cached).Send()
 		a.deliver(e, p, rest, now)
 		return
@@ -201,7 +205,7 @@
 	entry.Balancer = e.Balancer
 	entry.Class = e.Class
 	if !e.Cached {
-		a.config.Log.Info().Str("event", "flowFound").Stringer("flow", entry.Flow).Uint8("hop", e.Hop).Send()
+		a.config.Log.Info("flowFound").Stringer("flow", entry.Flow).Uint8("hop", e.Hop).Send()
 		a.report(e.Balancer, entry.Flow, now)
 	}
 }
@@ -220,7 +224,7 @@
 	}
 	a.lost(e, flow)
 	if e.Complete && !p.Reset {
-		a.config.Log.Info().Str("event", "flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
+		a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
 			Uint8("agentsAsked", e.Count).Send()
 		a.reset(flow, p.AckSeq)
 	}
@@ -229,7 +233,7 @@
 // returnPacket sends a packet back to its balancer, which searches for the flow.
 func (a *Agent) returnPacket(e *steer.Envelope, flow packet.Flow, raw, rest []byte) {
 	a.counts.Returned.Add(1)
-	a.config.Log.Info().Str("event", "packetReturned").Stringer("flow", flow).Bool("cached", e.Cached).Uint8("page", e.Page).Send()
+	a.config.Log.Info("packetReturned").Stringer("flow", flow).Bool("cached", e.Cached).Uint8("page", e.Page).Send()
 	e.Kind = steer.Return
 	a.transmit(e, raw, rest, e.Balancer)
 }
@@ -245,7 +249,7 @@
 // refuse resets a new flow that the server could not serve in time.
 func (a *Agent) refuse(flow packet.Flow, p packet.Packet, delay, timeout time.Duration) {
 	a.counts.Refused.Add(1)
-	a.config.Log.Warn().Str("event", "flowRefused").Stringer("flow", flow).Str("reason", "overload").
+	a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "overload").
 		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
 	a.reset(flow, p.AckSeq)
 }
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -51,6 +51,7 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noteSilence(now)
 	a.expire(now)
 	a.reportChange(now)
 	if now.Sub(a.swept) >= sweepInterval {
@@ -79,6 +80,20 @@
 	return !a.unanswered.IsZero() && now.Sub(a.unanswered) > silentAfter
 }
 
+// noteSilence writes when the server stops and starts answering.
+func (a *Agent) noteSilence(now time.Time) {
+	silent := a.silent(now)
+	if silent == a.wasSilent {
+		return
+	}
+	a.wasSilent = silent
+	if silent {
+		a.config.Log.Warn("serverSilent").Time("unansweredSince", a.unanswered).Int("running", len(a.running)).Send()
+		return
+	}
+	a.config.Log.Info("serverAnswers").Send()
+}
+
 // load returns what balancers are told.
 func (a *Agent) load(now time.Time) steer.Load {
 	l := steer.Load{
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -39,6 +39,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unanswered = time.Time{}
+	a.noteSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
 		return
@@ -62,7 +63,7 @@
 		a.tellAsker(entry, now)
 	}
 	if entry.Answered(p, now) {
-		a.finish(entry, now)
+		a.finish(entry, p, now)
 	}
 	if entry.State == flowtable.Closed {
 		a.cancel(entry)
@@ -78,7 +79,7 @@
 	}
 	delete(a.asked, entry.Flow)
 	entry.Balancer, entry.Class = q.balancer, q.class
-	a.config.Log.Info().Str("event", "flowLearnt").Stringer("flow", entry.Flow).Send()
+	a.config.Log.Info("flowLearnt").Stringer("flow", entry.Flow).Send()
 	a.report(q.balancer, entry.Flow, now)
 }
 
@@ -97,7 +98,7 @@
 		a.table.Remove(flow)
 		a.fill(now)
 		if held && !p.Syn {
-			a.config.Log.Info().Str("event", "flowReset").Stringer("flow", flow).Str("reason", "serverRestarted").Send()
+			a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "serverRestarted").Send()
 			a.reset(flow, p.AckSeq)
 			return
 		}
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -12,9 +12,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/dispatch"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
@@ -39,20 +39,28 @@
 	Server netip.AddrPort
 	// CallerPort is the port to which packets for callers are sent.
 	CallerPort uint16
+	// RequestIDHeader names the header field with the ID of a request, for logs;
+	// empty if there is none.
+	RequestIDHeader string
 	// MaxFlow is the age after which a flow may be forgotten.
 	MaxFlow time.Duration
 	// Codec reads and marks packets.
 	Codec packet.Codec
+	// Observe takes, when an answer begins, whether its request must not run twice,
+	// the time since it was sent, and the part of that at the server.
+	Observe func(once bool, total, server time.Duration)
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log takes events.
-	Log zerolog.Logger
+	Log *eventlog.Log
 }
 
 // Agent carries packet flows. It is safe for concurrent use.
 type Agent struct {
 	config Config
-	wire   Wire
+	// idField is the header field of RequestIDHeader with its colon.
+	idField []byte
+	wire    Wire
 	// relay and outbound are nil in a wired agent.
 	relay    *net.UDPConn
 	outbound *net.UDPConn
@@ -78,8 +86,8 @@
 	// unanswered is when the first packet since the server's latest one was
 	// delivered; zero if none was.
 	unanswered time.Time
-	// probed is when a new flow was last offered to a silent server.
-	probed time.Time
+	// wasSilent is whether the server counted as silent when last looked at.
+	wasSilent bool
 	// listeners holds when each balancer last delivered a packet or asked for a report.
 	listeners map[netip.AddrPort]time.Time
 	// reported is the load that the listeners know.
@@ -101,6 +109,9 @@
 
 // running is a request that the server works on.
 type running struct {
+	// id names the request in logs.
+	id        string
+	sent      time.Time
 	delivered time.Time
 	// concurrent counts the requests at the server then, this one included.
 	concurrent int
@@ -143,8 +154,13 @@
 // FromFleet and FromServer, and Maintain is called every MaintainInterval.
 func NewWiredAgent(c Config, w Wire) *Agent {
 	now := c.Clock.Now()
+	var idField []byte
+	if c.RequestIDHeader != "" {
+		idField = []byte(c.RequestIDHeader + ":")
+	}
 	return &Agent{
 		config:    c,
+		idField:   idField,
 		wire:      w,
 		started:   now,
 		swept:     now,
@@ -192,6 +208,20 @@
 	return len(a.running) + a.queue.Len()
 }
 
+// Flows returns the number of flows in the table.
+func (a *Agent) Flows() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Len()
+}
+
+// Load returns what balancers are told.
+func (a *Agent) Load() steer.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load(a.config.Clock.Now())
+}
+
 // complete reports whether every open flow of the server is in the table: the
 // agent has run for as long as a flow may last.
 func (a *Agent) complete(now time.Time) bool {
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bergamotgw/bergamotgw/internal/dispatch"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
+	"github.com/bergamotgw/bergamotgw/internal/httphead"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -69,10 +72,11 @@
 		a.rate.add(now)
 		sent := entry.RequestSent(now)
 		entry.Requests++
+		entry.RequestID = httphead.RequestID(p.Data, a.idField)
 		if len(a.running) >= a.slotCount()+ahead && a.hold(entry, p, rest, sent) {
 			return
 		}
-		a.run(entry, now)
+		a.run(entry, sent, now)
 	}
 	entry.Sent(p, now)
 	if p.Reset || p.Fin && entry.Held {
@@ -83,18 +87,20 @@
 
 // hold keeps a request until the server has room.
 func (a *Agent) hold(entry *flowtable.Entry, p packet.Packet, rest []byte, sent time.Time) bool {
-	r := &dispatch.Request{Flow: entry.Flow, Class: entry.Class, Sent: sent, Return: entry.RoundTrip / 2}
+	r := &dispatch.Request{Flow: entry.Flow, ID: entry.RequestID, Class: entry.Class, Sent: sent, Return: entry.RoundTrip / 2}
 	if !a.queue.Push(r, p, rest) {
 		return false
 	}
 	a.counts.Held.Add(1)
 	entry.Held = true
+	a.config.Log.Info("requestHeld").Stringer("flow", entry.Flow).Str("request", r.ID).Int("running", len(a.running)).
+		Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Dur("service", a.service.Mean()).Send()
 	return true
 }
 
-func (a *Agent) run(entry *flowtable.Entry, now time.Time) {
+func (a *Agent) run(entry *flowtable.Entry, sent, now time.Time) {
 	entry.Running, entry.Delivered = true, now
-	a.running[entry.Flow] = running{delivered: now, concurrent: len(a.running) + 1}
+	a.running[entry.Flow] = running{id: entry.RequestID, sent: sent, delivered: now, concurrent: len(a.running) + 1}
 }
 
 // cancel forgets the request of a flow that its caller has given up.
@@ -105,17 +111,46 @@
 	entry.Running, entry.Held = false, false
 }
 
-// finish notes the answer to a request and gives the server the next one.
-func (a *Agent) finish(entry *flowtable.Entry, now time.Time) {
+// finish notes the first bytes of the answer to a request, and gives the server
+// the next one.
+func (a *Agent) finish(entry *flowtable.Entry, p packet.Packet, now time.Time) {
 	a.counts.Answered.Add(1)
+	status := httphead.Status(p.Data)
+	if status >= failureStatus {
+		a.counts.ServerFailures.Add(1)
+	}
 	if r, ok := a.running[entry.Flow]; ok {
-		a.service.Observe(now.Sub(r.delivered), r.concurrent, a.slotCount())
+		took := now.Sub(r.delivered)
+		a.service.Observe(took, r.concurrent, a.slotCount())
+		a.config.Observe(entry.Class.Once, now.Sub(r.sent), took)
+		a.logAnswer(entry, r, status, now)
 		delete(a.running, entry.Flow)
 	}
 	entry.Running = false
 	a.fill(now)
 }
 
+// failureStatus is the lowest status code of a failure of the server.
+const failureStatus = 500
+
+// logAnswer writes failures and late answers under events of their own, so that
+// they are not among the lines left out under load.
+func (a *Agent) logAnswer(entry *flowtable.Entry, r running, status int, now time.Time) {
+	age := now.Sub(r.sent)
+	var line *zerolog.Event
+	switch {
+	case status >= failureStatus:
+		line = a.config.Log.Info("requestFailed")
+	case age > time.Duration(entry.Class.TargetMillis)*time.Millisecond:
+		line = a.config.Log.Info("requestLate")
+	default:
+		line = a.config.Log.Sample("requestAnswered")
+	}
+	line.Stringer("flow", entry.Flow).Str("request", r.id).Int("status", status).
+		Dur("age", age).Dur("waited", r.delivered.Sub(r.sent)).Dur("server", now.Sub(r.delivered)).
+		Int("concurrent", r.concurrent).Send()
+}
+
 // fill gives the server requests that wait, while it has room.
 func (a *Agent) fill(now time.Time) {
 	for len(a.running) < a.slotCount()+ahead {
@@ -128,7 +163,7 @@
 			continue
 		}
 		entry.Held = false
-		a.run(entry, now)
+		a.run(entry, r.Sent, now)
 		r.Packets(func(raw []byte) {
 			if p, ok := a.config.Codec.Parse(raw); ok {
 				entry.Sent(p, now)
@@ -144,8 +179,8 @@
 	service := a.service.Mean()
 	for r := a.queue.Expired(now, service); r != nil; r = a.queue.Expired(now, service) {
 		a.counts.Expired.Add(1)
-		a.config.Log.Warn().Str("event", "requestExpired").Stringer("flow", r.Flow).
-			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Send()
+		a.config.Log.Warn("requestExpired").Stringer("flow", r.Flow).Str("request", r.ID).
+			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Dur("service", service).Send()
 		if entry := a.table.Get(r.Flow); entry != nil {
 			entry.Held = false
 		}
@@ -154,6 +189,9 @@
 	for f, r := range a.running {
 		if now.Sub(r.delivered) > overdue {
 			delete(a.running, f)
+			a.counts.Overdue.Add(1)
+			a.config.Log.Warn("requestOverdue").Stringer("flow", f).Str("request", r.id).Dur("server", now.Sub(r.delivered)).
+				Int("concurrent", r.concurrent).Dur("service", service).Send()
 			if entry := a.table.Get(f); entry != nil {
 				entry.Running = false
 			}
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/selection"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -69,6 +70,7 @@
 // noRoute refuses new flows to addresses without a route.
 func (b *Balancer) noRoute(p packet.Packet, flow packet.Flow) {
 	b.counts.NoRoute.Add(1)
+	b.config.Log.Info("noRoute").Stringer("flow", flow).Bool("new", p.Syn).Uint64("routes", b.config.Catalog().Routes.Version).Send()
 	if p.Syn && b.config.Catalog().Complete() {
 		b.reset(flow, p.AckSeq)
 	}
@@ -101,6 +103,10 @@
 	if e.Count > 0 {
 		b.selection.Placed(e.Candidates[0].Agent, now)
 	}
+	var first selection.Agent
+	if e.Count > 0 {
+		first = b.selection.Agent(e.Candidates[0].Agent)
+	}
 	hopeless := e.Count == 0 && b.selection.Hopeless(service, now)
 	b.mu.Unlock()
 	if e.Count == 0 {
@@ -111,6 +117,9 @@
 		return
 	}
 	b.counts.Placed.Add(1)
+	b.config.Log.Info("flowPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Stringer("agent", first.Address).
+		Uint8("choices", e.Count).Uint16("outstanding", first.Load.Outstanding).Dur("reportAge", now.Sub(first.Heard)).
+		Uint64("routes", b.config.Catalog().Routes.Version).Send()
 	b.cache.Put(flow, place{agent: e.Candidates[0].Agent})
 	b.send(&e, buf)
 }
@@ -136,7 +145,7 @@
 		return
 	}
 	b.counts.Walks.Add(1)
-	b.config.Log.Info().Str("event", "flowSearched").Stringer("flow", flow).Uint8("attempt", attempt).Uint8("page", page).
+	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", attempt).Uint8("page", page).
 		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Send()
 	b.cache.Put(flow, place{attempts: min(attempt+1, maxAttempts)})
 	if e.Count > 0 {
@@ -157,7 +166,7 @@
 
 func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service string) {
 	b.counts.Refused.Add(1)
-	b.config.Log.Warn().Str("event", "flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", "noServer").Send()
+	b.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", "noServer").Send()
 	b.reset(flow, p.AckSeq)
 }
 
@@ -270,5 +279,5 @@
 		return
 	}
 	b.counts.Lost.Add(1)
-	b.config.Log.Info().Str("event", "flowNotFound").Stringer("flow", flow).Bool("allAsked", complete).Send()
+	b.config.Log.Info("flowNotFound").Stringer("flow", flow).Bool("allAsked", complete).Send()
 }
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -12,9 +12,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/selection"
@@ -54,7 +54,7 @@
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log takes events.
-	Log zerolog.Logger
+	Log *eventlog.Log
 }
 
 // Balancer forwards packets. It is safe for concurrent use.
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packetagent"
+	"github.com/bergamotgw/bergamotgw/internal/packetmetrics"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
 	"github.com/bergamotgw/bergamotgw/internal/readiness"
 	"github.com/bergamotgw/bergamotgw/platform"
@@ -23,28 +24,32 @@
 type agent struct {
 	settings packetsettings.Agent
 	clock    clockwork.Clock
-	log      zerolog.Logger
+	log      *eventlog.Log
 	carry    *packetagent.Agent
+	metrics  *packetmetrics.Metrics
 	ready    *readiness.Server
 }
 
-func newAgent(s packetsettings.Agent, l zerolog.Logger) (*agent, error) {
-	a := &agent{settings: s, clock: clockwork.NewRealClock(), log: l}
+func newAgent(s packetsettings.Agent, l *eventlog.Log) (*agent, error) {
+	a := &agent{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
 	var err error
 	a.carry, err = packetagent.NewAgent(packetagent.Config{
-		Service:    catalog.ServiceID(s.Service),
-		Relay:      s.Relay,
-		Outbound:   s.Outbound,
-		Server:     s.Server,
-		CallerPort: s.Callers.Port(),
-		MaxFlow:    s.MaxFlow(),
-		Codec:      platform.PacketCodec(),
-		Clock:      a.clock,
-		Log:        l,
+		Service:         catalog.ServiceID(s.Service),
+		Relay:           s.Relay,
+		Outbound:        s.Outbound,
+		Server:          s.Server,
+		CallerPort:      s.Callers.Port(),
+		MaxFlow:         s.MaxFlow(),
+		Codec:           platform.PacketCodec(),
+		Observe:         a.metrics.Answers(s.Service),
+		RequestIDHeader: s.RequestIDHeader,
+		Clock:           a.clock,
+		Log:             l,
 	})
 	if err != nil {
 		return nil, err
 	}
+	a.metrics.AddAgent(a.carry)
 	a.ready, err = readiness.NewServer(s.Ready, func() bool { return true })
 	return a, err
 }
@@ -56,16 +61,17 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.carry.Run(serving) })
 	wg.Go(func() { a.ready.Run(serving) })
-	a.log.Info().Str("event", "agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
+	wg.Go(func() { serveMetrics(serving, a.metrics, a.settings.Metrics, a.log) })
+	a.log.Info("agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
 	<-ctx.Done()
 	a.carry.Leave()
-	a.log.Info().Str("event", "leaveStarted").Int("requests", a.carry.Busy()).Send()
+	a.log.Info("leaveStarted").Int("requests", a.carry.Busy()).Send()
 	started := a.clock.Now()
 	for a.carry.Busy() > 0 && a.clock.Since(started) < maxAgentLeave {
 		<-a.clock.After(maxAgentLeave / 20)
 	}
 	stop()
 	wg.Wait()
-	a.log.Info().Str("event", "agentStopped").Int("requests", a.carry.Busy()).Send()
+	a.log.Info("agentStopped").Int("requests", a.carry.Busy()).Send()
 	return nil
 }
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/directory"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
+	"github.com/bergamotgw/bergamotgw/internal/packetmetrics"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
 	"github.com/bergamotgw/bergamotgw/internal/readiness"
 	"github.com/bergamotgw/bergamotgw/platform"
@@ -36,15 +37,16 @@
 type balancer struct {
 	settings  packetsettings.Balancer
 	clock     clockwork.Clock
-	log       zerolog.Logger
+	log       *eventlog.Log
 	forward   *packetbalancer.Balancer
 	directory *directory.Directory
+	metrics   *packetmetrics.Metrics
 	ready     *readiness.Server
 	leaving   atomic.Bool
 }
 
-func newBalancer(s packetsettings.Balancer, l zerolog.Logger) (*balancer, error) {
-	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l}
+func newBalancer(s packetsettings.Balancer, l *eventlog.Log) (*balancer, error) {
+	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
 	store := platform.NewStore(s.Platform, s.Back.Addr())
 	b.directory = directory.NewDirectory(directory.Config{
 		Self:  s.Back,
@@ -75,6 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.metrics.AddBalancer(b.forward, b.directory)
 	b.ready, err = readiness.NewServer(s.Ready, func() bool {
 		return !b.leaving.Load() && b.directory.Catalog().Complete()
 	})
@@ -90,18 +93,26 @@
 	wg.Go(func() { b.forward.Run(serving) })
 	wg.Go(func() { b.directory.Run(serving) })
 	wg.Go(func() { b.ready.Run(serving) })
-	b.log.Info().Str("event", "balancerStarted").Stringer("front", b.settings.Front).Stringer("back", b.settings.Back).Send()
+	wg.Go(func() { serveMetrics(serving, b.metrics, b.settings.Metrics, b.log) })
+	b.log.Info("balancerStarted").Stringer("front", b.settings.Front).Stringer("back", b.settings.Back).Send()
 	<-ctx.Done()
 	b.leaving.Store(true)
 	b.directory.Leave()
-	b.log.Info().Str("event", "leaveStarted").Send()
+	b.log.Info("leaveStarted").Send()
 	b.waitIdle()
 	stop()
 	wg.Wait()
-	b.log.Info().Str("event", "balancerStopped").Send()
+	b.log.Info("balancerStopped").Send()
 	return nil
 }
 
+// serveMetrics serves metrics; the process goes on without them after a failure.
+func serveMetrics(ctx context.Context, m *packetmetrics.Metrics, address string, log *eventlog.Log) {
+	if err := m.Serve(ctx, address); err != nil {
+		log.Error("metricsFailed").Err(err).Send()
+	}
+}
+
 func (b *balancer) waitIdle() {
 	started := b.clock.Now()
 	limit := b.settings.Grace() - leaveReserve
--- a/internal/packetcli/commands.go
+++ b/internal/packetcli/commands.go
@@ -6,8 +6,8 @@
 	"os"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/rs/zerolog"
 
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/fault"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
 )
@@ -19,7 +19,7 @@
 // Run runs a balancer until it is told to leave.
 func (c *balancerCommand) Run() error {
 	return run(c.Settings, func(s packetsettings.Balancer) packetsettings.Common { return s.Common },
-		func(s packetsettings.Balancer, l zerolog.Logger) (process, error) { return newBalancer(s, l) })
+		func(s packetsettings.Balancer, l *eventlog.Log) (process, error) { return newBalancer(s, l) })
 }
 
 type agentCommand struct {
@@ -29,7 +29,7 @@
 // Run runs an agent until it is told to leave.
 func (c *agentCommand) Run() error {
 	return run(c.Settings, func(s packetsettings.Agent) packetsettings.Common { return s.Common },
-		func(s packetsettings.Agent, l zerolog.Logger) (process, error) { return newAgent(s, l) })
+		func(s packetsettings.Agent, l *eventlog.Log) (process, error) { return newAgent(s, l) })
 }
 
 type checkCommand struct {
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -8,10 +8,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
 )
 
@@ -24,6 +27,9 @@
 // timeFormat is the form of times in the log.
 const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
+// flushInterval is the pause between looks for suppressed lines.
+const flushInterval = time.Second
+
 // commands are the commands of the program.
 type commands struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer of packet flows."`
@@ -34,12 +40,12 @@
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var c commands
-	exit := exitOK
+	exit, exited := exitOK, false
 	parser, err := kong.New(&c,
 		kong.Name("bergamotflow"),
 		kong.Description("Carries packet flows, whose transport runs between caller and backend server."),
 		kong.Writers(stdout, stderr),
-		kong.Exit(func(code int) { exit = code }),
+		kong.Exit(func(code int) { exit, exited = code, true }),
 		kong.UsageOnError(),
 	)
 	if err != nil {
@@ -47,13 +53,13 @@
 		return exitFailed
 	}
 	ctx, err := parser.Parse(args)
+	if exited {
+		return exit
+	}
 	if err != nil {
 		parser.FatalIfErrorf(err)
 		return max(exit, exitFailed)
 	}
-	if ctx.Command() == "" {
-		return exit
-	}
 	ctx.BindTo(stdout, (*io.Writer)(nil))
 	if err := ctx.Run(); err != nil {
 		_, _ = fmt.Fprintln(stderr, "bergamotflow:", err)
@@ -70,7 +76,7 @@
 
 // run loads the settings of a process and serves it under signals: SIGTERM and
 // SIGINT make it leave, SIGHUP reads the log level again.
-func run[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, build func(T, zerolog.Logger) (process, error)) error {
+func run[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, build func(T, *eventlog.Log) (process, error)) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -80,7 +86,8 @@
 	}
 	setLevel(common(s).LogLevel)
 	zerolog.TimeFieldFormat = timeFormat
-	log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", common(s).Name).Logger()
+	log := eventlog.NewLog(os.Stdout, common(s).Name, clockwork.NewRealClock())
+	defer func() { _ = log.Close() }()
 	p, err := build(s, log)
 	if err != nil {
 		return err
@@ -89,8 +96,12 @@
 	defer leave()
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
 	for {
 		select {
+		case <-flush.C:
+			log.Flush()
 		case err := <-done:
 			return err
 		case s := <-signals:
@@ -103,14 +114,14 @@
 	}
 }
 
-func reload[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, log zerolog.Logger) {
+func reload[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, log *eventlog.Log) {
 	s, err := packetsettings.Load[T](path)
 	if err != nil {
-		log.Error().Str("event", "reloadFailed").Err(err).Send()
+		log.Error("reloadFailed").Err(err).Send()
 		return
 	}
 	setLevel(common(s).LogLevel)
-	log.Info().Str("event", "reloaded").Send()
+	log.Info("reloaded").Send()
 }
 
 func setLevel(name string) {
--- /dev/null
+++ b/internal/packetmetrics/packetmetrics.go
@@ -0,0 +1,151 @@
+// Package packetmetrics holds the metrics of the processes that carry packet
+// flows, and serves them.
+package packetmetrics
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/bergamotgw/bergamotgw/internal/directory"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/packetagent"
+	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// namespace precedes the name of every metric.
+const namespace = "bergamotflow"
+
+// headerTimeout bounds the time in which a client must send its header.
+const headerTimeout = 2 * time.Second
+
+// Metrics are the metrics of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+}
+
+// NewMetrics returns the metrics that every process has.
+func NewMetrics(log *eventlog.Log) *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.counter("log_lines_dropped_total", "Log lines that a slow reader left no room for.", log.Dropped)
+	m.counter("log_lines_suppressed_total", "Log lines above the rate of their event.", log.Suppressed)
+	return m
+}
+
+// Registry returns the registry of the metrics.
+func (m *Metrics) Registry() *prometheus.Registry {
+	return m.registry
+}
+
+// AddBalancer adds the metrics of a balancer.
+func (m *Metrics) AddBalancer(b *packetbalancer.Balancer, d *directory.Directory) {
+	c, r := b.Counts(), d.Counts()
+	m.counter("packets_cached_total", "Packets forwarded to the agent in the cache.", c.Cached.Load)
+	m.counter("flows_placed_total", "SYN packets offered to agents.", c.Placed.Load)
+	m.counter("searches_total", "Packets of unknown flows sent in search of their agent.", c.Walks.Load)
+	m.counter("packets_returned_total", "Packets that came back from agents without their flow.", c.Returned.Load)
+	m.counter("flows_lost_total", "Packets whose flow no agent holds.", c.Lost.Load)
+	m.counter("flows_refused_total", "New flows reset because their service has no server.", c.Refused.Load)
+	m.counter("packets_without_route_total", "Packets to addresses without a route.", c.NoRoute.Load)
+	m.counter("packets_without_server_total", "Packets of services without a server.", c.NoServer.Load)
+	m.counter("datagrams_malformed_total", "Datagrams that could not be decoded.", c.Malformed.Load)
+	m.counter("datagrams_unsent_total", "Datagrams that the kernel did not take.", c.SendFailed.Load)
+	m.counter("platform_reads_total", "Calls to the platform.", r.Reads.Load)
+	m.counter("platform_reads_failed_total", "Readings of the platform that failed.", r.FailedReads.Load)
+	m.counter("catalog_fetches_total", "Catalogs taken from other balancers.", r.Fetches.Load)
+	m.gauge("catalog_age_seconds", "Time since the catalog was read from the platform, here or elsewhere.", func() float64 {
+		age, _ := d.Age()
+		return age.Seconds()
+	})
+	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
+	m.gauge("peers_heard", "Other balancers heard lately.", func() float64 { return float64(d.Peers()) })
+}
+
+// AddAgent adds the metrics of an agent.
+func (m *Metrics) AddAgent(a *packetagent.Agent) {
+	c := a.Counts()
+	m.counter("flows_admitted_total", "New flows offered to the server.", c.Admitted.Load)
+	m.counter("packets_passed_on_total", "Packets passed to the next candidate.", c.PassedOn.Load)
+	m.counter("packets_returned_total", "Packets sent back to their balancer.", c.Returned.Load)
+	m.counter("flows_lost_total", "Packets whose flow no candidate holds.", c.Lost.Load)
+	m.counter("flows_refused_total", "New flows reset because they could not be served in time.", c.Refused.Load)
+	m.counter("packets_bounced_total", "Packets that the server returned.", c.Bounced.Load)
+	m.counter("flows_learnt_total", "Flows found in packets of the server.", c.Learnt.Load)
+	m.counter("server_asked_total", "Packets of unknown flows shown to the server.", c.Asked.Load)
+	m.counter("requests_held_total", "Requests that waited at the agent.", c.Held.Load)
+	m.counter("requests_expired_total", "Requests that waited until they could no longer be answered in time.", c.Expired.Load)
+	m.counter("requests_overdue_total", "Requests whose answer the server owes for too long.", c.Overdue.Load)
+	m.counter("requests_answered_total", "Answers of the server.", c.Answered.Load)
+	m.counter("server_failures_total", "Answers with a status of 500 or more.", c.ServerFailures.Load)
+	m.counter("flows_wrong_service_total", "New flows for another service.", c.WrongService.Load)
+	m.counter("datagrams_malformed_total", "Datagrams that could not be decoded.", c.Malformed.Load)
+	m.counter("datagrams_unsent_total", "Datagrams that the kernel did not take.", c.SendFailed.Load)
+	m.gauge("flows", "Flows in the table.", func() float64 { return float64(a.Flows()) })
+	m.gauge("requests", "Requests that wait or run.", func() float64 { return float64(a.Busy()) })
+	m.gauge("server_silent", "1 while the server leaves packets unanswered.", func() float64 {
+		if a.Load().State == steer.Silent {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Answers returns a function that takes the times of each answer of a service.
+func (m *Metrics) Answers(service string) func(once bool, total, server time.Duration) {
+	totals := m.histogram("request_seconds", "Time from the sending of a request to the first bytes of its answer.", service)
+	servers := m.histogram("server_seconds", "Time from the delivery of a request to the first bytes of its answer.", service)
+	return func(once bool, total, server time.Duration) {
+		kind := "repeatable"
+		if once {
+			kind = "once"
+		}
+		totals.WithLabelValues(kind).Observe(total.Seconds())
+		servers.WithLabelValues(kind).Observe(server.Seconds())
+	}
+}
+
+func (m *Metrics) histogram(name, help, service string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		ConstLabels: prometheus.Labels{"service": service},
+		Buckets:     prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"kind"})
+	m.registry.MustRegister(h)
+	return h
+}
+
+func (m *Metrics) counter(name, help string, value func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) }))
+}
+
+func (m *Metrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
+// Serve serves the metrics as text at /metrics until the context ends. An empty
+// address serves nothing.
+func (m *Metrics) Serve(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return merry.Prepend(err, "metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); ctx.Err() == nil {
+		return merry.Prepend(err, "metrics")
+	}
+	return nil
+}
--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -71,6 +71,9 @@
 	Outbound netip.AddrPort `json:"outbound"`
 	// Server is the address of the backend server.
 	Server netip.AddrPort `json:"server"`
+	// RequestIDHeader names the header field with the ID of a request, for logs;
+	// empty if there is none.
+	RequestIDHeader string `json:"requestIdHeader,omitempty"`
 	// Callers is any address with the port at which callers take packets.
 	Callers netip.AddrPort `json:"callers"`
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// Agent returns what is known of an agent, or the zero value.
+func (s *Selection) Agent(address netip.AddrPort) Agent {
+	if a := s.agents[address]; a != nil {
+		return *a
+	}
+	return Agent{Address: address}
+}
+
 // Suspect reports whether an agent leaves messages unanswered.
 func (s *Selection) Suspect(address netip.AddrPort, now time.Time) bool {
 	a := s.agents[address]
