--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// TestOrder plays a queue. push adds a request that was sent some time ago, at
+// prints the order in which waiting requests go to the server, and expired those
+// that can no longer be served.
+func TestOrder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var q Queue
+		var port uint16
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "push":
+				port++
+				r := request(t, d, start)
+				r.Flow = packet.Flow{CallerPort: port}
+				q.Push(r, packet.Packet{Seq: 1}, nil)
+				return ""
+			case "order":
+				service, slots := 20, 2
+				d.MaybeScanArgs(t, "serviceMillis", &service)
+				d.MaybeScanArgs(t, "slots", &slots)
+				s := Server{Service: time.Duration(service) * time.Millisecond, Slots: slots}
+				var out []string
+				for r := q.Next(start, s); r != nil; r = q.Next(start, s) {
+					out = append(out, r.ID)
+				}
+				return strings.Join(out, " ")
+			case "expired":
+				var out []string
+				for r := q.Expired(start, 20*time.Millisecond); r != nil; r = q.Expired(start, 20*time.Millisecond) {
+					out = append(out, r.ID)
+				}
+				return fmt.Sprintf("expired: %s; waiting: %d", strings.Join(out, " "), q.Len())
+			default:
+				d.Fatalf(t, "unknown command")
+				return ""
+			}
+		})
+	})
+}
+
+// request reads a request: id, age=MILLIS, priority=N, target=MILLIS, timeout=MILLIS.
+func request(t *testing.T, d *datadriven.TestData, now time.Time) *Request {
+	age, priority, target, timeout := 0, 2, 100, 1500
+	d.MaybeScanArgs(t, "age", &age)
+	d.MaybeScanArgs(t, "priority", &priority)
+	d.MaybeScanArgs(t, "target", &target)
+	d.MaybeScanArgs(t, "timeout", &timeout)
+	return &Request{
+		ID:    d.CmdArgs[0].Key,
+		Sent:  now.Add(-time.Duration(age) * time.Millisecond),
+		Class: steer.Class{Priority: uint8(priority), TargetMillis: uint16(target), TimeoutMillis: uint16(timeout)},
+	}
+}
+
+// TestHeldPackets checks that copies are not held twice, and that both bounds hold.
+func TestHeldPackets(t *testing.T) {
+	var q Queue
+	r := &Request{Flow: packet.Flow{CallerPort: 1}}
+	q.Push(r, packet.Packet{Seq: 1}, []byte("a"))
+	q.Add(r.Flow, packet.Packet{Seq: 1}, []byte("a"))
+	q.Add(r.Flow, packet.Packet{Seq: 2}, []byte("b"))
+	for i := range MaxPackets * 2 {
+		q.Add(r.Flow, packet.Packet{Seq: uint32(i)}, []byte("c"))
+	}
+	count := 0
+	r.Packets(func([]byte) { count++ })
+	if count != MaxPackets {
+		t.Errorf("%d packets held, want %d", count, MaxPackets)
+	}
+	for q.Len() < MaxRequests {
+		q.Push(&Request{}, packet.Packet{}, nil)
+	}
+	if q.Push(&Request{}, packet.Packet{}, nil) {
+		t.Errorf("a full queue took a request")
+	}
+}
--- /dev/null
+++ b/internal/steer/steer_test.go
@@ -0,0 +1,100 @@
+package steer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+)
+
+func drawAddress(t *rapid.T) netip.AddrPort {
+	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip"))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(t, "port"))
+}
+
+func drawFlow(t *rapid.T) packet.Flow {
+	return packet.ParseFlow(rapid.SliceOfN(rapid.Byte(), packet.FlowLen, packet.FlowLen).Draw(t, "flow"))
+}
+
+// TestEnvelopeRoundTrip checks that an envelope decodes to what was encoded, and
+// that the packet behind it is untouched.
+func TestEnvelopeRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := Envelope{
+			Kind:   rapid.SampledFrom([]Kind{Forward, Return}).Draw(t, "kind"),
+			Cached: rapid.Bool().Draw(t, "cached"), Complete: rapid.Bool().Draw(t, "complete"),
+			Take: rapid.Bool().Draw(t, "take"), More: rapid.Bool().Draw(t, "more"),
+			Page: rapid.Byte().Draw(t, "page"), Attempt: rapid.Byte().Draw(t, "attempt"),
+			Class: Class{
+				Priority: rapid.Byte().Draw(t, "priority"), TargetMillis: rapid.Uint16().Draw(t, "target"),
+				TimeoutMillis: rapid.Uint16().Draw(t, "timeout"), Once: rapid.Bool().Draw(t, "once"),
+			},
+			Service: rapid.Uint32().Draw(t, "service"), Balancer: drawAddress(t),
+			Best: NoBest, BestDelayMillis: rapid.Uint16().Draw(t, "delay"),
+		}
+		for range rapid.IntRange(1, MaxCandidates).Draw(t, "count") {
+			e.Append(Candidate{Agent: drawAddress(t), Slots: rapid.Byte().Draw(t, "slots")})
+		}
+		e.Hop = rapid.Uint8Range(0, e.Count-1).Draw(t, "hop")
+		raw := make([]byte, e.Len(), e.Len()+3)
+		e.Put(raw)
+		var got Envelope
+		rest, ok := got.Parse(append(raw, "abc"...))
+		if !ok || string(rest) != "abc" || got != e {
+			t.Fatalf("decoded %t %q %+v, want %+v", ok, rest, got, e)
+		}
+	})
+}
+
+// TestNoticesRoundTrip checks reports, lost notices and digests.
+func TestNoticesRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFlow(t)
+		l := Load{
+			State:       rapid.SampledFrom([]State{Up, Leaving, Silent}).Draw(t, "state"),
+			Outstanding: rapid.Uint16().Draw(t, "outstanding"), Flows: rapid.Uint16().Draw(t, "flows"),
+			RequestsPerSecond: float32(rapid.IntRange(0, 10_000).Draw(t, "rate")),
+			Service:           time.Duration(rapid.IntRange(0, 10_000_000).Draw(t, "service")) * time.Microsecond,
+		}
+		var b [ReportLen]byte
+		PutReport(b[:], l, f)
+		if gotLoad, gotFlow, ok := ParseReport(b[:]); !ok || gotLoad != l || gotFlow != f {
+			t.Fatalf("report %t %+v %v, want %+v %v", ok, gotLoad, gotFlow, l, f)
+		}
+		var lost [LostLen]byte
+		PutLost(lost[:], f, true)
+		if got, complete, ok := ParseLost(lost[:]); !ok || !complete || got != f {
+			t.Fatalf("lost %t %t %v", ok, complete, got)
+		}
+		fresh := Freshness{
+			ConfigVersion: rapid.Uint64().Draw(t, "version"), Revision: rapid.Uint64().Draw(t, "revision"),
+			Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond, Sum: rapid.Uint64().Draw(t, "sum"),
+			Leaving: rapid.Bool().Draw(t, "leaving"),
+		}
+		members := []netip.AddrPort{drawAddress(t), drawAddress(t)}
+		var digest [DigestMaxLen]byte
+		n := PutDigest(digest[:], fresh, members)
+		got, gotMembers, ok := ParseDigest(digest[:n])
+		if !ok || got != fresh || len(gotMembers) != 2 || gotMembers[1] != members[1] {
+			t.Fatalf("digest %t %+v %v", ok, got, gotMembers)
+		}
+	})
+}
+
+// FuzzParse checks that no datagram breaks the decoders.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{magic, byte(Forward)})
+	f.Add(make([]byte, MaxLen))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		var e Envelope
+		if _, ok := e.Parse(raw); ok {
+			_ = e.Self()
+		}
+		_, _, _ = ParseReport(raw)
+		_, _, _ = ParseLost(raw)
+		_, _, _ = ParseDigest(raw)
+	})
+}
