--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,8 +22,6 @@
 type Request struct {
 	// Flow is the flow that it arrived on.
 	Flow packet.Flow
-	// ID names it in logs.
-	ID string
 	// Class describes it.
 	Class steer.Class
 	// Sent is when its caller sent it, as far as known.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -19,13 +19,13 @@
 	start := time.Unix(1000, 0)
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var q Queue
-		var port uint16
+		var ids []string
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "push":
-				port++
 				r := request(t, d, start)
-				r.Flow = packet.Flow{CallerPort: port}
+				r.Flow = packet.Flow{CallerPort: uint16(len(ids))}
+				ids = append(ids, d.CmdArgs[0].Key)
 				q.Push(r, packet.Packet{Seq: 1}, nil)
 				return ""
 			case "order":
@@ -35,13 +35,13 @@
 				s := Server{Service: time.Duration(service) * time.Millisecond, Slots: slots}
 				var out []string
 				for r := q.Next(start, s); r != nil; r = q.Next(start, s) {
-					out = append(out, r.ID)
+					out = append(out, ids[r.Flow.CallerPort])
 				}
 				return strings.Join(out, " ")
 			case "expired":
 				var out []string
 				for r := q.Expired(start, 20*time.Millisecond); r != nil; r = q.Expired(start, 20*time.Millisecond) {
-					out = append(out, r.ID)
+					out = append(out, ids[r.Flow.CallerPort])
 				}
 				return fmt.Sprintf("expired: %s; waiting: %d", strings.Join(out, " "), q.Len())
 			default:
@@ -52,7 +52,7 @@
 	})
 }
 
-// request reads a request: id, age=MILLIS, priority=N, target=MILLIS, timeout=MILLIS.
+// request reads a request: age=MILLIS, priority=N, target=MILLIS, timeout=MILLIS.
 func request(t *testing.T, d *datadriven.TestData, now time.Time) *Request {
 	age, priority, target, timeout := 0, 2, 100, 1500
 	d.MaybeScanArgs(t, "age", &age)
@@ -60,7 +60,6 @@
 	d.MaybeScanArgs(t, "target", &target)
 	d.MaybeScanArgs(t, "timeout", &timeout)
 	return &Request{
-		ID:    d.CmdArgs[0].Key,
 		Sent:  now.Add(-time.Duration(age) * time.Millisecond),
 		Class: steer.Class{Priority: uint8(priority), TargetMillis: uint16(target), TimeoutMillis: uint16(timeout)},
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -48,6 +48,8 @@
 	since time.Time
 	// written and suppressed count lines since then.
 	written, suppressed int
+	// sampled is true for events that need only examples.
+	sampled bool
 }
 
 // NewLog returns a log that writes to w through a bounded queue.
@@ -117,7 +119,7 @@
 	defer l.mu.Unlock()
 	r := l.rates[event]
 	if r == nil {
-		r = &rate{since: now}
+		r = &rate{since: now, sampled: perSecond == SamplesPerSecond}
 		l.rates[event] = r
 	}
 	if now.Sub(r.since) >= window {
@@ -132,12 +134,13 @@
 	return true
 }
 
-// summarize writes how many lines of an event were left out, and starts a window.
+// summarize writes how many lines of an event were left out, and starts a
+// window. Of sampled events, most always are.
 func (l *Log) summarize(event string, r *rate, now time.Time) {
-	if r.suppressed > 0 {
+	if r.suppressed > 0 && !r.sampled {
 		l.base.Info().Str("event", "linesSuppressed").Str("of", event).Int("count", r.suppressed).Send()
 	}
-	*r = rate{since: now}
+	*r = rate{since: now, sampled: r.sampled}
 }
 
 // Flush writes how many lines were left out in windows that have ended.
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,95 @@
+package explain
+
+import (
+	"fmt"
+
+	"github.com/samber/lo"
+)
+
+// Cause is what decided the outcome of a flow or request.
+type Cause struct {
+	// Name identifies the cause.
+	Name string `json:"name"`
+	// Text tells it to a person.
+	Text string `json:"text"`
+}
+
+// rule recognizes a cause by the event of a line.
+type rule struct {
+	event string
+	// matches narrows the event; nil matches every line of it.
+	matches func(l Line) bool
+	name    string
+	text    func(l Line) string
+}
+
+// rules are in order of weight: the first that matches any line of a story is
+// its cause. Within one rule the latest line counts.
+func rules() []rule {
+	return []rule{
+		{event: "flowRefused", matches: reason("overload"), name: "refusedOverload", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: every server that was asked expected a delay beyond the timeout (%v ms of %v ms at %s)",
+				l.Fields["expectedDelay"], l.Fields["timeout"], l.VM)
+		}},
+		{event: "flowRefused", matches: reason("noServer"), name: "refusedNoServer", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: %s knew no server of service %v", l.VM, l.Fields["service"])
+		}},
+		{event: "noRoute", name: "noRoute", text: func(l Line) string {
+			return fmt.Sprintf("no route: version %v of the routes at %s does not have the address", l.Fields["routes"], l.VM)
+		}},
+		{event: "requestExpired", name: "expiredWaiting", text: func(l Line) string {
+			return fmt.Sprintf("not run: waited %v ms at %s behind %v running and %v waiting requests, and could no longer be answered in time",
+				l.Fields["age"], l.VM, l.Fields["running"], l.Fields["waiting"])
+		}},
+		{event: "flowReset", matches: reason("serverRestarted"), name: "resetServerRestarted", text: func(l Line) string {
+			return fmt.Sprintf("reset: the server beside %s no longer holds the flow that it had, so it has restarted", l.VM)
+		}},
+		{event: "flowReset", matches: reason("notHeldAnywhere"), name: "resetNotHeld", text: func(l Line) string {
+			return "reset: the balancer did not know the flow, and no server of the service holds it"
+		}},
+		{event: "requestFailed", name: "serverFailed", text: func(l Line) string {
+			return fmt.Sprintf("the server beside %s answered with status %v after %v ms", l.VM, l.Fields["status"], l.Fields["server"])
+		}},
+		{event: "requestOverdue", name: "serverOverdue", text: func(l Line) string {
+			return fmt.Sprintf("the server beside %s had the request for %v ms without an answer; it may have run", l.VM, l.Fields["server"])
+		}},
+		{event: "flowNotFound", name: "lost", text: func(Line) string {
+			return "lost: no agent that could be reached holds the flow, and some could not be reached"
+		}},
+		{event: "requestLate", matches: waitedMost, name: "lateWaiting", text: func(l Line) string {
+			return fmt.Sprintf("late: %v ms, of which %v ms passed before the server beside %s got the request", l.Fields["age"], l.Fields["waited"], l.VM)
+		}},
+		{event: "requestLate", name: "lateServer", text: func(l Line) string {
+			return fmt.Sprintf("late: %v ms, of which the server beside %s took %v ms", l.Fields["age"], l.VM, l.Fields["server"])
+		}},
+		{event: "requestAnswered", name: "answered", text: func(l Line) string {
+			return fmt.Sprintf("answered in time, after %v ms", l.Fields["age"])
+		}},
+	}
+}
+
+func reason(want string) func(Line) bool {
+	return func(l Line) bool { return l.Fields["reason"] == want }
+}
+
+func waitedMost(l Line) bool {
+	waited, _ := l.Fields["waited"].(float64)
+	server, _ := l.Fields["server"].(float64)
+	return waited > server
+}
+
+// findCause returns the cause of a story that has lines.
+func findCause(lines []Line) Cause {
+	for _, r := range rules() {
+		found, _, ok := lo.FindLastIndexOf(lines, func(l Line) bool {
+			return l.Event == r.event && (r.matches == nil || r.matches(l))
+		})
+		if ok {
+			return Cause{Name: r.name, Text: r.text(found)}
+		}
+	}
+	if _, ok := lo.Find(lines, func(l Line) bool { return l.Event == "flowSearched" }); ok {
+		return Cause{Name: "searching", Text: "the balancer searched for the flow and nobody answered: its agent was down or cut off"}
+	}
+	return Cause{Name: "unanswered", Text: "placed, and no line tells of an answer: the agent or its server was down, or the line was left out (linesSuppressed)"}
+}
--- /dev/null
+++ b/internal/explain/write.go
@@ -0,0 +1,36 @@
+package explain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/samber/lo"
+)
+
+// shown are the fields that have a column of their own or belong to every line.
+var shown = []string{"time", "vm", "event", "level"}
+
+// WriteJSON writes a story as JSON.
+func (s Story) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return merry.Wrap(e.Encode(s))
+}
+
+// Write writes a story for a person; its last line is the cause.
+func (s Story) Write(w io.Writer) error {
+	for _, l := range s.Lines {
+		keys := lo.Without(lo.Keys(l.Fields), shown...)
+		slices.Sort(keys)
+		fields := lo.Map(keys, func(k string, _ int) string { return fmt.Sprintf("%s=%v", k, l.Fields[k]) })
+		if _, err := fmt.Fprintf(w, "%s  %-18s %-18s %s\n", l.Time.Format("15:04:05.000000"), l.VM, l.Event, strings.Join(fields, " ")); err != nil {
+			return merry.Wrap(err)
+		}
+	}
+	_, err := fmt.Fprintf(w, "cause: %s: %s\n", s.Cause.Name, s.Cause.Text)
+	return merry.Wrap(err)
+}
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -109,8 +109,6 @@
 
 // running is a request that the server works on.
 type running struct {
-	// id names the request in logs.
-	id        string
 	sent      time.Time
 	delivered time.Time
 	// concurrent counts the requests at the server then, this one included.
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -63,16 +63,19 @@
 // deliverPacket gives a packet of an open flow to the server, or holds it if it
 // begins a request and the server has enough.
 func (a *Agent) deliverPacket(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
+	starts := entry.StartsRequest(p)
+	if len(p.Data) > 0 && (starts || entry.RequestID == "") {
+		entry.RequestID = httphead.RequestID(p.Data, a.idField)
+	}
 	if entry.Held && len(p.Data) > 0 {
 		a.queue.Add(entry.Flow, p, rest)
 		return
 	}
-	if entry.StartsRequest(p) {
+	if starts {
 		delete(a.expected, entry.Flow)
 		a.rate.add(now)
 		sent := entry.RequestSent(now)
 		entry.Requests++
-		entry.RequestID = httphead.RequestID(p.Data, a.idField)
 		if len(a.running) >= a.slotCount()+ahead && a.hold(entry, p, rest, sent) {
 			return
 		}
@@ -87,20 +90,20 @@
 
 // hold keeps a request until the server has room.
 func (a *Agent) hold(entry *flowtable.Entry, p packet.Packet, rest []byte, sent time.Time) bool {
-	r := &dispatch.Request{Flow: entry.Flow, ID: entry.RequestID, Class: entry.Class, Sent: sent, Return: entry.RoundTrip / 2}
+	r := &dispatch.Request{Flow: entry.Flow, Class: entry.Class, Sent: sent, Return: entry.RoundTrip / 2}
 	if !a.queue.Push(r, p, rest) {
 		return false
 	}
 	a.counts.Held.Add(1)
 	entry.Held = true
-	a.config.Log.Info("requestHeld").Stringer("flow", entry.Flow).Str("request", r.ID).Int("running", len(a.running)).
+	a.config.Log.Info("requestHeld").Stringer("flow", entry.Flow).Str("request", entry.RequestID).Int("running", len(a.running)).
 		Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Dur("service", a.service.Mean()).Send()
 	return true
 }
 
 func (a *Agent) run(entry *flowtable.Entry, sent, now time.Time) {
 	entry.Running, entry.Delivered = true, now
-	a.running[entry.Flow] = running{id: entry.RequestID, sent: sent, delivered: now, concurrent: len(a.running) + 1}
+	a.running[entry.Flow] = running{sent: sent, delivered: now, concurrent: len(a.running) + 1}
 }
 
 // cancel forgets the request of a flow that its caller has given up.
@@ -146,7 +149,7 @@
 	default:
 		line = a.config.Log.Sample("requestAnswered")
 	}
-	line.Stringer("flow", entry.Flow).Str("request", r.id).Int("status", status).
+	line.Stringer("flow", entry.Flow).Str("request", entry.RequestID).Int("status", status).
 		Dur("age", age).Dur("waited", r.delivered.Sub(r.sent)).Dur("server", now.Sub(r.delivered)).
 		Int("concurrent", r.concurrent).Send()
 }
@@ -179,22 +182,24 @@
 	service := a.service.Mean()
 	for r := a.queue.Expired(now, service); r != nil; r = a.queue.Expired(now, service) {
 		a.counts.Expired.Add(1)
-		a.config.Log.Warn("requestExpired").Stringer("flow", r.Flow).Str("request", r.ID).
-			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Dur("service", service).Send()
+		id := ""
 		if entry := a.table.Get(r.Flow); entry != nil {
-			entry.Held = false
+			entry.Held, id = false, entry.RequestID
 		}
+		a.config.Log.Warn("requestExpired").Stringer("flow", r.Flow).Str("request", id).
+			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Dur("service", service).Send()
 	}
 	overdue := max(overdueFactor*service, minOverdue)
 	for f, r := range a.running {
 		if now.Sub(r.delivered) > overdue {
 			delete(a.running, f)
 			a.counts.Overdue.Add(1)
-			a.config.Log.Warn("requestOverdue").Stringer("flow", f).Str("request", r.id).Dur("server", now.Sub(r.delivered)).
-				Int("concurrent", r.concurrent).Dur("service", service).Send()
+			id := ""
 			if entry := a.table.Get(f); entry != nil {
-				entry.Running = false
+				entry.Running, id = false, entry.RequestID
 			}
+			a.config.Log.Warn("requestOverdue").Stringer("flow", f).Str("request", id).Dur("server", now.Sub(r.delivered)).
+				Int("concurrent", r.concurrent).Dur("service", service).Send()
 		}
 	}
 	a.fill(now)
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -34,6 +34,7 @@
 type commands struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer of packet flows."`
 	Agent    agentCommand    `cmd:"" help:"Run an agent of packet flows beside a backend server."`
+	Explain  explainCommand  `cmd:"" help:"Tell from logs what became of a flow or a request, and why."`
 	Check    checkCommand    `cmd:"" help:"Check a settings file, and print every fault."`
 }
 
--- /dev/null
+++ b/internal/selection/selection_test.go
@@ -0,0 +1,166 @@
+package selection
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+const (
+	testPort   = 7001
+	testRetain = 60 * time.Second
+)
+
+// TestSelection plays what a balancer learns and prints what it selects.
+// "servers" takes a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
+// [service=S]" on a line; server N has the address 10.0.0.N.
+func TestSelection(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		start := time.Unix(1000, 0)
+		now := start
+		s := NewSelection("a", testPort, testRetain)
+		revision := uint64(0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "servers":
+				revision++
+				s.Update(catalog.NewServers(revision, readServers(t, d)), now)
+				return ""
+			case "report":
+				s.Heard(serverAddress(d.CmdArgs[0].Key), readLoad(t, d), now)
+				return ""
+			case "asked":
+				s.Asked(serverAddress(d.CmdArgs[0].Key), now)
+				return ""
+			case "wait":
+				wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(wait)
+				return ""
+			case "spread":
+				return spread(t, d, s, now)
+			case "walk":
+				return walk(t, d, s, now)
+			case "hopeless":
+				var e steer.Envelope
+				s.Choices(&e, 1, "pass", now)
+				return strconv.FormatBool(s.Hopeless("pass", now))
+			default:
+				d.Fatalf(t, "unknown command")
+				return ""
+			}
+		})
+	})
+}
+
+func serverAddress(number string) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%s:%d", number, testPort))
+}
+
+func number(c steer.Candidate) string {
+	return strconv.Itoa(int(c.Agent.Addr().As4()[3]))
+}
+
+func readServers(t *testing.T, d *datadriven.TestData) []catalog.Server {
+	var list []catalog.Server
+	for i, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		v := catalog.Server{
+			ID: fmt.Sprintf("i-%s-%d", words[0], i), Service: "pass", Zone: "a", Slots: 2, State: catalog.Ready,
+			Address: serverAddress(words[0]).Addr(),
+		}
+		for _, w := range words[1:] {
+			key, value, _ := strings.Cut(w, "=")
+			switch key {
+			case "born":
+				v.Born, _ = strconv.ParseInt(value, 10, 64)
+				v.ID = "i-" + words[0] + "-" + value
+			case "zone":
+				v.Zone = value
+			case "slots":
+				n, _ := strconv.Atoi(value)
+				v.Slots = uint8(n)
+			case "draining":
+				v.State = catalog.Draining
+			case "service":
+				v.Service = value
+			default:
+				t.Fatalf("unknown word %q", w)
+			}
+		}
+		if v.Born == 0 {
+			v.ID = "i-" + words[0]
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
+func readLoad(t *testing.T, d *datadriven.TestData) steer.Load {
+	outstanding, flows, rate, service := 0, 0, 0, 20
+	d.MaybeScanArgs(t, "outstanding", &outstanding)
+	d.MaybeScanArgs(t, "flows", &flows)
+	d.MaybeScanArgs(t, "rate", &rate)
+	d.MaybeScanArgs(t, "serviceMillis", &service)
+	l := steer.Load{
+		Outstanding: uint16(outstanding), Flows: uint16(flows), RequestsPerSecond: float32(rate),
+		Service: time.Duration(service) * time.Millisecond,
+	}
+	if d.HasArg("silent") {
+		l.State = steer.Silent
+	}
+	if d.HasArg("leaving") {
+		l.State = steer.Leaving
+	}
+	return l
+}
+
+// spread places flows and prints how many go to each server first.
+func spread(t *testing.T, d *datadriven.TestData, s *Selection, now time.Time) string {
+	flows := 100
+	d.MaybeScanArgs(t, "flows", &flows)
+	counts := map[string]int{}
+	for i := range flows {
+		e := steer.Envelope{Class: steer.Class{TargetMillis: 100}}
+		s.Choices(&e, s.Hash(packet.Flow{CallerPort: uint16(i)}), "pass", now)
+		if e.Count == 0 {
+			return "no server"
+		}
+		s.Placed(e.Candidates[0].Agent, now)
+		counts[number(e.Candidates[0])]++
+	}
+	keys := lo.Keys(counts)
+	slices.Sort(keys)
+	return strings.Join(lo.Map(keys, func(k string, _ int) string { return fmt.Sprintf("%s:%d", k, counts[k]) }), " ")
+}
+
+func walk(t *testing.T, d *datadriven.TestData, s *Selection, now time.Time) string {
+	attempt, page := 0, 0
+	d.MaybeScanArgs(t, "attempt", &attempt)
+	d.MaybeScanArgs(t, "page", &page)
+	e := steer.Envelope{Attempt: uint8(attempt), Page: uint8(page)}
+	aside := s.Walk(&e, nil, s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, now)
+	list := lo.Map(e.Candidates[:e.Count], func(c steer.Candidate, _ int) string { return number(c) })
+	out := fmt.Sprintf("agents %s", strings.Join(list, " "))
+	if len(list) > 12 {
+		out = fmt.Sprintf("%d agents", len(list))
+	}
+	return fmt.Sprintf("%s; aside %s; complete %t, more %t", out,
+		strings.Join(lo.Map(aside, func(c steer.Candidate, _ int) string { return number(c) }), " "), e.Complete, e.More)
+}
