--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,215 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+)
+
+// store is a stand-in of the platform. Balancers in refused get errors.
+type store struct {
+	mu      sync.Mutex
+	routes  catalog.Routes
+	servers catalog.Servers
+	refused map[netip.Addr]bool
+	calls   int
+}
+
+func (s *store) source(self netip.Addr) Source {
+	return Source{
+		Routes: func(context.Context) (catalog.Routes, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.calls++
+			if s.refused[self] {
+				return catalog.Routes{}, errors.New("refused")
+			}
+			return s.routes, nil
+		},
+		Servers: func(context.Context) (catalog.Servers, []error, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.calls++
+			if s.refused[self] {
+				return catalog.Servers{}, nil, errors.New("refused")
+			}
+			return s.servers, nil, nil
+		},
+	}
+}
+
+func (s *store) publish(version, revision uint64, ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routes = catalog.Routes{Version: version}
+	var list []catalog.Server
+	for _, id := range ids {
+		list = append(list, catalog.Server{ID: id, Service: "pass", Address: netip.MustParseAddr("10.0.0.1")})
+	}
+	s.servers = catalog.NewServers(revision, list)
+}
+
+func (s *store) refuse(self netip.Addr, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[self] = refused
+}
+
+// fleet runs directories that exchange digests without sockets, and catalogs
+// over loopback.
+type fleet struct {
+	t     *testing.T
+	store *store
+	port  uint16
+	mu    sync.Mutex
+	all   map[netip.AddrPort]*Directory
+}
+
+func newFleet(t *testing.T) *fleet {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
+	_ = l.Close()
+	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool)}, port: port, all: make(map[netip.AddrPort]*Directory)}
+}
+
+// start runs a directory on 127.0.0.n until the test ends.
+func (f *fleet) start(n byte) *Directory {
+	ip := netip.AddrFrom4([4]byte{127, 0, 0, n})
+	self := netip.AddrPortFrom(ip, 7000)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := NewDirectory(Config{
+		Self:   self,
+		Peer:   netip.AddrPortFrom(ip, f.port),
+		Seeds:  []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
+		Source: f.store.source(ip),
+		Send: func(b []byte, to netip.AddrPort) {
+			f.mu.Lock()
+			other := f.all[to]
+			f.mu.Unlock()
+			if other != nil {
+				other.HandleDigest(ctx, append([]byte(nil), b...), self)
+			}
+		},
+		Changed: func(*catalog.Catalog) {},
+		Clock:   clockwork.NewRealClock(),
+		Log:     eventlog.NewDirectLog(zerolog.Nop(), clockwork.NewRealClock()),
+	})
+	f.mu.Lock()
+	f.all[self] = d
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		d.Run(ctx)
+		close(done)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return d
+}
+
+// await waits until a directory has the given versions.
+func await(t *testing.T, d *Directory, version, revision uint64, limit time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		c := d.Catalog()
+		if c.Routes.Version >= version && c.Servers.Revision >= revision {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("routes %d, servers %d after %v; want %d and %d", c.Routes.Version, c.Servers.Revision, limit, version, revision)
+		}
+	}
+}
+
+// changeBound is the time within which a change must be in force everywhere.
+const changeBound = 3 * time.Second
+
+// TestOneReads checks that one balancer reads for all, and that a change reaches
+// all in time.
+func TestOneReads(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 1, "a")
+	var all []*Directory
+	for n := range byte(4) {
+		all = append(all, f.start(n+1))
+	}
+	for _, d := range all {
+		await(t, d, 1, 1, changeBound)
+	}
+	time.Sleep(time.Second)
+	f.store.mu.Lock()
+	before := f.store.calls
+	f.store.mu.Unlock()
+	const watched = 3 * time.Second
+	time.Sleep(watched)
+	f.store.mu.Lock()
+	calls := f.store.calls - before
+	f.store.mu.Unlock()
+	alone := 2 * int(watched/readInterval+1)
+	if calls > alone*3/2 {
+		t.Errorf("%d calls by four balancers, one alone makes %d", calls, alone)
+	}
+	f.store.publish(2, 2, "a", "b")
+	for _, d := range all {
+		await(t, d, 2, 2, changeBound)
+	}
+}
+
+// TestReaderIsCutOff checks that others read when the first reader is refused,
+// and that it learns from them.
+func TestReaderIsCutOff(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 1, "a")
+	first, second := f.start(1), f.start(2)
+	await(t, first, 1, 1, changeBound)
+	await(t, second, 1, 1, changeBound)
+	f.store.refuse(netip.MustParseAddr("127.0.0.1"), true)
+	f.store.publish(2, 2, "a", "b")
+	await(t, second, 2, 2, changeBound)
+	await(t, first, 2, 2, changeBound)
+}
+
+// TestStartWithoutPlatform checks that a restarted balancer serves from what the
+// others know.
+func TestStartWithoutPlatform(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(3, 9, "a")
+	first := f.start(1)
+	await(t, first, 3, 9, changeBound)
+	for n := range byte(3) {
+		f.store.refuse(netip.AddrFrom4([4]byte{127, 0, 0, n + 1}), true)
+	}
+	late := f.start(2)
+	await(t, late, 3, 9, time.Second)
+	if !late.Catalog().Complete() {
+		t.Error("the catalog is not complete")
+	}
+}
+
+// TestNothingGoesBack checks that older routes and readings change nothing.
+func TestNothingGoesBack(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(5, 50, "a", "b")
+	d := f.start(1)
+	await(t, d, 5, 50, changeBound)
+	f.store.publish(4, 40, "a")
+	time.Sleep(2 * readInterval)
+	if c := d.Catalog(); c.Routes.Version != 5 || len(c.Servers.List) != 2 {
+		t.Errorf("routes %d and %d servers, want 5 and 2", c.Routes.Version, len(c.Servers.List))
+	}
+}
