--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -140,6 +140,11 @@
 	return ahead > -maxAckDistance && ahead <= 0
 }
 
+// ServerNext returns the next sequence number of the server, for logs.
+func (e *Entry) ServerNext() uint32 {
+	return e.serverNext
+}
+
 // StartsRequest reports whether a caller's packet carries the first bytes of a
 // further request.
 func (e *Entry) StartsRequest(p packet.Packet) bool {
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -189,6 +189,10 @@
 		a.deliverPacket(e, entry, p, rest, now)
 		return
 	}
+	if entry != nil {
+		a.config.Log.Warn("packetOfOtherServer").Stringer("flow", flow).Uint8("state", uint8(entry.State)).
+			Uint32("acknowledged", p.AckSeq).Uint32("serverNext", entry.ServerNext()).Send()
+	}
 	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
 		a.counts.Asked.Add(1)
 		a.asked[flow] = asking{balancer: e.Balancer, class: e.Class, at: now}
@@ -225,7 +229,7 @@
 	a.lost(e, flow)
 	if e.Complete && !p.Reset {
 		a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
-			Uint8("agentsAsked", e.Count).Send()
+			Uint8("page", e.Page).Uint8("agentsAsked", e.Count).Send()
 		a.reset(flow, p.AckSeq)
 	}
 }
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -64,7 +64,7 @@
 		b.send(&e, buf)
 		return
 	}
-	b.walk(buf, flow, route, at.attempts, 0)
+	b.walk(buf, flow, route, steer.Envelope{Attempt: at.attempts})
 }
 
 // noRoute refuses new flows to addresses without a route.
@@ -125,11 +125,11 @@
 }
 
 // walk sends a packet of an unknown flow past a page of the agents that may
-// hold it.
-func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, attempt, page uint8) {
+// hold it. search tells attempt, page, and the list of the page before.
+func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, search steer.Envelope) {
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
-	e.Attempt, e.Page = attempt, page
+	e.Attempt, e.Page, e.List = search.Attempt, search.Page, search.List
 	b.mu.Lock()
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
@@ -137,20 +137,26 @@
 	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, now)
 	aside := b.aside
 	b.mu.Unlock()
-	if page > 0 {
-		aside = nil
-	}
 	if int(e.Count)+len(aside) == 0 {
 		b.counts.NoServer.Add(1)
 		return
 	}
 	b.counts.Walks.Add(1)
-	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", attempt).Uint8("page", page).
+	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", e.Attempt).Uint8("page", e.Page).
 		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Send()
-	b.cache.Put(flow, place{attempts: min(attempt+1, maxAttempts)})
-	if e.Count > 0 {
+	b.cache.Put(flow, place{attempts: min(e.Attempt+1, maxAttempts)})
+	b.copyAside(e, aside, buf)
+	switch {
+	case e.Count > 0:
 		b.send(&e, buf)
+	case e.More:
+		e.Page++
+		b.walk(buf, flow, route, e)
 	}
+}
+
+// copyAside sends a copy of a packet to each agent that is passed over.
+func (b *Balancer) copyAside(e steer.Envelope, aside []steer.Candidate, buf []byte) {
 	for _, c := range aside {
 		e.Count, e.Complete, e.More, e.Candidates[0] = 1, false, false, c
 		b.send(&e, buf)
@@ -251,7 +257,8 @@
 	buf := make([]byte, steer.MaxLen+len(rest))
 	copy(buf[steer.MaxLen:], rest)
 	if e.More {
-		b.walk(buf, flow, route, e.Attempt, e.Page+1)
+		e.Page++
+		b.walk(buf, flow, route, e)
 		return
 	}
 	b.forwardReturned(buf, flow, route, from)
@@ -262,7 +269,7 @@
 func (b *Balancer) forwardReturned(buf []byte, flow packet.Flow, route *catalog.Route, from netip.AddrPort) {
 	at, _ := b.cache.Get(flow)
 	if !at.agent.IsValid() || at.agent == from {
-		b.walk(buf, flow, route, at.attempts, 0)
+		b.walk(buf, flow, route, steer.Envelope{Attempt: at.attempts})
 		return
 	}
 	e := b.envelope(route)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -71,6 +71,8 @@
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
+	// listed grows whenever an agent is added or removed.
+	listed uint16
 	// emptySince holds when the last usable server of a service was lost.
 	emptySince map[string]time.Time
 	scored     []scored
@@ -111,6 +113,7 @@
 		}
 		if now.Sub(a.Missing) > s.retain {
 			delete(s.agents, address)
+			s.listed++
 		}
 	}
 	s.group()
@@ -134,6 +137,7 @@
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
 		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String()))}
 		s.agents[address] = a
+		s.listed++
 	}
 	a.Server, a.Missing = v, time.Time{}
 	a.warm = now.Add(v.Warmup)
@@ -306,40 +310,44 @@
 
 // Walk adds a page of the agents of the services that may hold an unknown flow,
 // most likely first. Later attempts start elsewhere, so that an agent that does
-// not answer cannot hide the others. Agents known not to answer are no part of
-// the pages, but are appended to aside: each is sent a copy of its own.
+// not answer cannot hide the others. Agents known not to answer are passed over,
+// and appended to aside: each is sent a copy of its own. The pages of one search
+// are complete only if they come from one list of agents.
 func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
-	complete := true
 	for _, service := range services {
 		first := len(s.scored)
 		for _, a := range s.byService[service] {
-			switch {
-			case !a.suspect(now):
-				s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
-			case a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter:
-				complete = false
-				fallthrough
-			default:
-				aside = append(aside, candidate(a))
-			}
+			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
 		}
 		slices.SortStableFunc(s.scored[first:], func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	}
 	n := len(s.scored)
 	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
+	e.More = end < n
+	e.Complete = !e.More && (e.Page == 0 || e.List == s.listed)
+	e.List = s.listed
 	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
 		at := (i + int(e.Attempt)/2*attemptStep) % n
 		if e.Attempt%2 == 1 {
 			at = n - 1 - at
 		}
-		e.Append(candidate(s.scored[at].agent))
+		if a := s.scored[at].agent; a.suspect(now) {
+			aside = append(aside, candidate(a))
+		} else {
+			e.Append(candidate(a))
+		}
 	}
-	e.More = end < n
-	e.Complete = complete && !e.More
+	e.Complete = e.Complete && !slices.ContainsFunc(s.scored, func(c scored) bool { return c.agent.mayHideFlow(now) })
 	return aside
 }
 
+// mayHideFlow reports whether the server of an agent that does not answer may
+// live and hold flows.
+func (a *Agent) mayHideFlow(now time.Time) bool {
+	return a.suspect(now) && (a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter)
+}
+
 // attemptStep is how far the start of a walk moves with each second attempt.
 const attemptStep = 3
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -37,7 +37,7 @@
 	// MaxCandidates is the longest list of candidates.
 	MaxCandidates = 32
 	// HeaderLen is the length of an envelope without candidates.
-	HeaderLen = 25
+	HeaderLen = 27
 	// MaxLen is the length of an envelope with a full list of candidates.
 	MaxLen = HeaderLen + MaxCandidates*candidateLen
 
@@ -60,6 +60,7 @@
 	bestDelayOffset = 21
 	pageOffset      = 23
 	attemptOffset   = 24
+	listOffset      = 25
 )
 
 // Flags of an envelope.
@@ -115,6 +116,8 @@
 	Hop uint8
 	// Count is the number of valid candidates.
 	Count uint8
+	// List tells which list of agents the pages belong to.
+	List uint16
 	// Class describes the requests of the flow.
 	Class Class
 	// Service is the numeric identity of the service.
@@ -153,6 +156,7 @@
 	b[kindOffset] = byte(e.Kind)
 	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag)
 	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
+	binary.BigEndian.PutUint16(b[listOffset:], e.List)
 	b[hopOffset] = e.Hop
 	b[countOffset] = e.Count
 	b[priorityOffset] = e.Class.Priority
@@ -181,6 +185,7 @@
 	e.Take = b[flagsOffset]&takeFlag != 0
 	e.More = b[flagsOffset]&moreFlag != 0
 	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
+	e.List = binary.BigEndian.Uint16(b[listOffset:])
 	e.Hop, e.Count = b[hopOffset], b[countOffset]
 	if e.Count > MaxCandidates || e.Hop >= e.Count || len(b) < e.Len() {
 		return nil, false
