--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -190,6 +190,7 @@
 	steer.PutPing(ping[:])
 	now := b.config.Clock.Now()
 	b.mu.Lock()
+	b.selection.Turned(now, b.logTurn)
 	stale := b.selection.Stale(now.Add(-PingInterval), nil)
 	for _, a := range stale {
 		b.selection.Asked(a, now)
@@ -199,3 +200,13 @@
 		b.Send(ping[:], a)
 	}
 }
+
+// logTurn writes that an agent has stopped or started to answer.
+func (b *Balancer) logTurn(a selection.Agent, silent bool) {
+	if !silent {
+		b.config.Log.Info("agentAnswers").Stringer("agent", a.Address).Str("server", a.Server.ID).Send()
+		return
+	}
+	b.config.Log.Warn("agentSilent").Stringer("agent", a.Address).Str("server", a.Server.ID).
+		Time("asked", a.Asked).Time("heard", a.Heard).Bool("listed", a.Missing.IsZero()).Send()
+}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -32,8 +32,9 @@
 	// entries that lapsed in an outage return within 2 s of its end.
 	lapseGrace = 1800 * time.Millisecond
 	// goneAfter is how long a server that does not answer must be missing from the
-	// list to count as gone, with all its flows.
-	goneAfter = 4 * time.Second
+	// list to count as gone, with all its flows: entries of live servers are back
+	// within 2 s of an outage.
+	goneAfter = 2500 * time.Millisecond
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
@@ -60,6 +61,8 @@
 
 	hash uint64
 	warm time.Time
+	// wasSuspect is what Turned last returned.
+	wasSuspect bool
 }
 
 // Selection keeps the agents of all services. It is not safe for concurrent use.
@@ -211,6 +214,17 @@
 	return list
 }
 
+// Turned calls changed for each agent that has stopped or started to answer
+// since the last call.
+func (s *Selection) Turned(now time.Time, changed func(a Agent, silent bool)) {
+	for _, a := range s.agents {
+		if silent := a.suspect(now); silent != a.wasSuspect {
+			a.wasSuspect = silent
+			changed(*a, silent)
+		}
+	}
+}
+
 // Hash returns the hash of a flow that ranks agents and selects shares of a route.
 func (s *Selection) Hash(f packet.Flow) uint64 {
 	var b [packet.FlowLen]byte
