Soak real processes under random faults, and check the promises while they run

bergamotlab soak runs balancers and agents as processes on loopback, with callers, servers, fabric and platform of the emulator around them. Its first run found a process that ended by itself after a SIGHUP close to its start; signals are now handled from the first instruction of the program on.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -25,15 +25,20 @@
 	lapseAfter = 2300 * time.Millisecond
 )
 
-// platform is the stand-in of the platform's store.
-type platform struct {
+// published is what the platform lists.
+type published struct {
 	routes   catalog.Routes
 	servers  map[string]catalog.Server
 	revision uint64
 	down     bool
 }
 
-func (p *platform) register(s *serverVM) {
+func (p *published) register(s *serverVM) {
+	defer func() {
+		if r := s.lab.real; r != nil {
+			r.register(p.servers[s.entryID()])
+		}
+	}()
 	if p.servers == nil {
 		p.servers = make(map[string]catalog.Server)
 	}
@@ -45,7 +50,10 @@
 	}
 }
 
-func (p *platform) remove(id string) {
+func (p *published) remove(l *Lab, id string) {
+	if l.real != nil {
+		l.real.store.Remove(id)
+	}
 	p.revision++
 	delete(p.servers, id)
 }
@@ -78,13 +86,17 @@
 	b.epoch++
 	b.up, b.goneAt, b.disturbed = true, time.Time{}, l.clock.Now()
 	b.catalog = catalog.NewCatalog()
+	if l.real != nil {
+		l.real.startBalancer(b)
+		return
+	}
 	b.balancer = packetbalancer.NewWiredBalancer(packetbalancer.Config{
 		Front:     netip.AddrPortFrom(b.ip, frontPort),
 		Back:      b.back(),
 		Zone:      b.zone,
 		AgentPort: agentPort,
 		MaxFlow:   maxFlow,
-		Codec:     codec(),
+		Codec:     l.codec,
 		Catalog:   func() *catalog.Catalog { return b.catalog },
 		Digest:    func(context.Context, []byte, netip.AddrPort) {},
 		Clock:     l.clock,
@@ -110,6 +122,9 @@
 	b.up = false
 	b.epoch++
 	b.disturbed = b.lab.clock.Now()
+	if b.lab.real != nil {
+		b.lab.real.kill(b.vm)
+	}
 	b.goneAt = b.disturbed.Add(probeDelay)
 }
 
@@ -144,6 +159,10 @@
 		return
 	}
 	copied := append([]byte(nil), raw...)
+	if l.real != nil {
+		l.real.send(copied, l.real.router, netip.AddrPortFrom(best.ip, frontPort))
+		return
+	}
 	l.after(callerDelay, func() {
 		if best.up && !best.cut {
 			best.balancer.FromCaller(copied)
@@ -152,5 +171,8 @@
 }
 
 func (b *balancerVM) inRotation() bool {
+	if r := b.lab.real; r != nil {
+		return r.ready(b)
+	}
 	return b.up && b.catalog.Complete() || !b.up && b.lab.clock.Now().Before(b.goneAt)
 }
--- a/internal/lab/packetlab/caller.go
+++ b/internal/lab/packetlab/caller.go
@@ -95,7 +95,7 @@
 func (l *Lab) AddCaller(zone string) *caller {
 	c := &caller{vm: l.newVM(callerZone), lab: l, near: zone, nextPort: 1024, flows: make(map[uint16]*callerFlow)}
 	l.callers = append(l.callers, c)
-	l.receivers[netip.AddrPortFrom(c.ip, callerPort)] = c.receive
+	l.listen(netip.AddrPortFrom(c.ip, callerPort), c.receive)
 	return c
 }
 
@@ -185,12 +185,12 @@
 func (f *callerFlow) transmit(p packet.Packet) {
 	p.SourceIP, p.SourcePort = f.flow.CallerIP, f.flow.CallerPort
 	p.DestinationIP, p.DestinationPort = f.flow.ServiceIP, f.flow.ServicePort
-	f.caller.lab.route(f.caller, f.flow, put(p))
+	f.caller.lab.route(f.caller, f.flow, f.caller.lab.put(p))
 }
 
 // receive takes a packet for the caller.
 func (c *caller) receive(raw []byte, _ netip.AddrPort) {
-	p, ok := parse(raw)
+	p, ok := c.lab.codec.Parse(raw)
 	if !ok {
 		return
 	}
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -31,6 +31,9 @@
 	}
 	l.platform.revision++
 	l.platform.routes = routes
+	if l.real != nil {
+		l.real.publish(routes)
+	}
 }
 
 // RestartBalancer ends a balancer, and starts it again after the given time.
@@ -58,7 +61,7 @@
 	s := l.servers[i]
 	former := s.entryID()
 	s.crash()
-	l.after(lapseAfter, func() { l.platform.remove(former) })
+	l.after(lapseAfter, func() { l.platform.remove(l, former) })
 	l.after(down, s.startServer)
 }
 
@@ -69,7 +72,7 @@
 	s.crash()
 	s.stopAgent()
 	s.up = false
-	l.after(lapseAfter, func() { l.platform.remove(former) })
+	l.after(lapseAfter, func() { l.platform.remove(l, former) })
 }
 
 // DrainServer lists a server as draining, and ends it after the given time.
@@ -78,7 +81,7 @@
 	s.state, s.drainedAt = catalog.Draining, l.clock.Now()
 	l.platform.register(s)
 	l.after(after, func() {
-		l.platform.remove(s.entryID())
+		l.platform.remove(l, s.entryID())
 		s.crash()
 		s.stopAgent()
 		s.up = false
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
 )
 
 // One-way delays of the network.
@@ -26,10 +27,12 @@
 
 // Ports of all VMs.
 const (
-	frontPort  = 8000
-	backPort   = 7000
-	agentPort  = 7001
+	frontPort  = 28000
+	backPort   = 27000
+	agentPort  = 27001
 	callerPort = frontPort
+	appPort    = 29000
+	outPort    = 29001
 )
 
 // Lab is an emulated deployment.
@@ -39,7 +42,13 @@
 	// Log takes the log of balancers and agents.
 	Log zerolog.Logger
 
-	clock   *clockwork.FakeClock
+	clock clockwork.Clock
+	// advance moves the virtual clock; nil if time passes by itself.
+	advance func(d time.Duration)
+	codec   packet.Codec
+	put     func(p packet.Packet) []byte
+	// real is nil if balancers and agents run in this process.
+	real    *real
 	started time.Time
 	rand    *rand.Rand
 	events  events
@@ -49,7 +58,7 @@
 	balancers []*balancerVM
 	servers   []*serverVM
 	callers   []*caller
-	platform  platform
+	platform  published
 	// receivers take datagrams by the address of their socket.
 	receivers map[netip.AddrPort]func(raw []byte, from netip.AddrPort)
 	// vms finds the VM of an IP address.
@@ -82,6 +91,9 @@
 	return &Lab{
 		Log:       zerolog.Nop(),
 		clock:     clock,
+		advance:   clock.Advance,
+		codec:     codec(),
+		put:       put,
 		started:   clock.Now(),
 		rand:      rand.New(rand.NewPCG(seed, seed)),
 		zones:     zones,
@@ -152,11 +164,15 @@
 
 // Run plays until the given time since the start.
 func (l *Lab) Run(until time.Duration) {
+	if l.real != nil {
+		l.runReal(until)
+		return
+	}
 	end := l.started.Add(until)
 	for len(l.events) > 0 && !l.events[0].at.After(end) {
 		e := heap.Pop(&l.events).(event)
 		if d := e.at.Sub(l.clock.Now()); d > 0 {
-			l.clock.Advance(d)
+			l.advance(d)
 		}
 		e.run()
 	}
@@ -165,11 +181,20 @@
 // newVM returns a running VM with an address of its own.
 func (l *Lab) newVM(zone string) *vm {
 	l.nextIP++
-	v := &vm{ip: netip.AddrFrom4([4]byte{10, 0, byte(l.nextIP >> 8), byte(l.nextIP)}), zone: zone, up: true, disturbed: l.clock.Now()}
+	v := &vm{ip: netip.AddrFrom4([4]byte{l.network(), 1, byte(l.nextIP >> 8), byte(l.nextIP)}), zone: zone, up: true, disturbed: l.clock.Now()}
 	l.vms[v.ip] = v
 	return v
 }
 
+// network returns the first number of all addresses: of loopback if processes
+// are real.
+func (l *Lab) network() byte {
+	if l.real != nil {
+		return 127
+	}
+	return 10
+}
+
 // eventLog returns the log of a process on a VM.
 func (l *Lab) eventLog(v *vm) *eventlog.Log {
 	return eventlog.NewDirectLog(l.Log.With().Str("vm", v.ip.String()).Logger(), l.clock)
@@ -182,6 +207,10 @@
 		return
 	}
 	copied := append([]byte(nil), raw...)
+	if l.real != nil {
+		l.real.send(copied, from, to)
+		return
+	}
 	l.after(l.delay(source, target), func() {
 		if receive := l.receivers[to]; receive != nil && passes(source, target) && target.up {
 			receive(copied, from)
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -31,10 +31,10 @@
 // loadUntil is when callers stop sending; no script plays longer.
 const loadUntil = time.Hour
 
-// TestScenarios plays the scripts in testdata. Each names the load or failure
+// TestScenarios plays the scripts in testdata/scripts. Each names the load or failure
 // pattern that it answers.
 func TestScenarios(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var l *Lab
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -54,15 +54,15 @@
 	request []byte
 }
 
-func (s *serverVM) app() netip.AddrPort      { return netip.AddrPortFrom(s.ip, 9000) }
-func (s *serverVM) outbound() netip.AddrPort { return netip.AddrPortFrom(s.ip, 9001) }
+func (s *serverVM) app() netip.AddrPort      { return netip.AddrPortFrom(s.ip, appPort) }
+func (s *serverVM) outbound() netip.AddrPort { return netip.AddrPortFrom(s.ip, outPort) }
 func (s *serverVM) relay() netip.AddrPort    { return netip.AddrPortFrom(s.ip, agentPort) }
 
 // AddServer starts a backend server with its agent.
 func (l *Lab) AddServer(zone string, service Service, speed float64) *serverVM {
 	s := &serverVM{vm: l.newVM(zone), lab: l, service: service, speed: speed, slow: 1}
 	l.servers = append(l.servers, s)
-	l.receivers[s.app()] = s.receive
+	l.listen(s.app(), s.receive)
 	s.startServer()
 	s.startAgent()
 	return s
@@ -83,12 +83,16 @@
 func (s *serverVM) startAgent() {
 	l := s.lab
 	s.epoch++
+	if l.real != nil {
+		l.real.startAgent(s)
+		return
+	}
 	s.agent = packetagent.NewWiredAgent(packetagent.Config{
 		Service:    catalog.ServiceID(s.service.Name),
 		Relay:      s.relay(),
 		CallerPort: callerPort,
 		MaxFlow:    maxFlow,
-		Codec:      codec(),
+		Codec:      l.codec,
 		Observe:    func(bool, time.Duration, time.Duration) {},
 		Clock:      l.clock,
 		Log:        l.eventLog(s.vm),
@@ -104,6 +108,9 @@
 // stopAgent ends the agent; the server lives on.
 func (s *serverVM) stopAgent() {
 	s.epoch++
+	if s.lab.real != nil {
+		s.lab.real.kill(s.vm)
+	}
 	delete(s.lab.receivers, s.relay())
 	delete(s.lab.receivers, s.outbound())
 	s.disturbed = s.lab.clock.Now()
@@ -121,7 +128,7 @@
 	if !s.alive {
 		return
 	}
-	p, ok := parse(raw)
+	p, ok := s.lab.codec.Parse(raw)
 	if !ok {
 		return
 	}
@@ -133,7 +140,7 @@
 		s.open(f, p)
 	case flow == nil:
 		p.Bounced = true
-		s.lab.send(put(p), s.app(), s.outbound())
+		s.lab.send(s.lab.put(p), s.app(), s.outbound())
 	case p.Reset:
 		s.lab.flowClosed(f)
 		delete(s.flows, f)
@@ -161,7 +168,7 @@
 func (s *serverVM) reply(f packet.Flow, p packet.Packet) {
 	p.SourceIP, p.SourcePort = f.ServiceIP, f.ServicePort
 	p.DestinationIP, p.DestinationPort = f.CallerIP, f.CallerPort
-	s.lab.send(put(p), s.app(), s.outbound())
+	s.lab.send(s.lab.put(p), s.app(), s.outbound())
 }
 
 // open answers a SYN.
--- /dev/null
+++ b/internal/lab/packetlab/soak.go
@@ -0,0 +1,271 @@
+package packetlab
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/bergamotgw/bergamotgw/platform/standin"
+)
+
+// Soak is a run of real processes under random faults.
+type Soak struct {
+	// Program is the path of the bergamotflow program.
+	Program string
+	// Seed decides the faults and their times.
+	Seed uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// Balancers and Servers are the numbers of processes.
+	Balancers, Servers int
+	// Dir takes settings and logs.
+	Dir string
+	// Out takes the faults, Result a line at the end.
+	Out, Result io.Writer
+}
+
+// Timing of a soak.
+const (
+	// soakWarmup is the time before the first fault.
+	soakWarmup = 3 * time.Second
+	// soakCalm is the time after the last fault, in which requests must be served.
+	soakCalm = 4 * time.Second
+	// maxPause is the longest time between two faults; series overlap.
+	maxPause = 900 * time.Millisecond
+	// calmServed is the least share of requests that is served at the end.
+	calmServed = 0.95
+	// graceTime is when a process that was told to leave is killed.
+	graceTime = 6 * time.Second
+)
+
+// The services and kinds of a soak: light work, so that the machine is not the limit.
+var (
+	soakService = Service{Name: "pass", Slots: 4, Queue: 16, Cold: time.Second, ColdFactor: 1.5}
+	soakKinds   = []Kind{
+		{Name: "session", Address: address(1), Long: true, Work: 5 * time.Millisecond, AnswerLen: 3000, Target: 200 * time.Millisecond, Timeout: 2 * time.Second},
+		{Name: "purchase", Address: address(2), Once: true, Work: 8 * time.Millisecond, RequestLen: 1500, AnswerLen: 600, Target: 250 * time.Millisecond, Timeout: 2500 * time.Millisecond},
+	}
+)
+
+// Run plays the soak. It returns the findings, each a broken promise.
+func (s Soak) Run() ([]string, error) {
+	l, err := NewRealLab(s.Seed, s.Program, s.Dir, "zone-a", "zone-b")
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	l.SetRoutes(1, soakKinds, []string{soakService.Name, soakService.Name})
+	for i := range s.Servers {
+		l.AddServer(l.zones[i%len(l.zones)], soakService, 1)
+	}
+	for i := range s.Balancers {
+		l.AddBalancer(l.zones[i%len(l.zones)])
+	}
+	for i := range 2 * s.Servers {
+		c := l.AddCaller(l.zones[i%len(l.zones)])
+		c.Load(soakKinds[0], time.Second/2, s.For+soakWarmup+soakCalm)
+		c.Load(soakKinds[0], time.Second/2, s.For+soakWarmup+soakCalm)
+		c.Load(soakKinds[1], time.Second/2, s.For+soakWarmup+soakCalm)
+	}
+	s.schedule(l)
+	l.Run(soakWarmup + s.For)
+	l.Run(soakWarmup + s.For + soakCalm/2)
+	before := l.tally
+	l.Run(soakWarmup + s.For + soakCalm)
+	s.checkCalm(l, l.tally.minus(before))
+	_, _ = fmt.Fprintf(s.Result, "seed %d: %+v, %d findings\n", s.Seed, l.tally, len(l.Findings))
+	return l.Findings, merry.Prepend(s.checkLogs(l), "logs")
+}
+
+// checkCalm checks that the system has recovered, and that no process has ended
+// by itself.
+func (s Soak) checkCalm(l *Lab, t Tally) {
+	if served := t.InTime + t.Late; float64(served) < calmServed*float64(t.Total()) || t.Total() == 0 {
+		l.find("recovery: %d of %d requests served after the last fault", served, t.Total())
+	}
+	for _, v := range s.vms(l) {
+		if v.up && l.real.exited(v) {
+			l.find("exit: the process of %s has ended by itself", v.ip)
+		}
+	}
+}
+
+func (s Soak) vms(l *Lab) []*vm {
+	var list []*vm
+	for _, b := range l.balancers {
+		list = append(list, b.vm)
+	}
+	for _, v := range l.servers {
+		list = append(list, v.vm)
+	}
+	return list
+}
+
+// checkLogs looks for crashes in the logs of all processes.
+func (s Soak) checkLogs(l *Lab) error {
+	names, err := filepath.Glob(filepath.Join(s.Dir, "*.log"))
+	if err != nil {
+		return err
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		if strings.Contains(string(raw), "panic:") || strings.Contains(string(raw), "fatal error:") {
+			l.find("crash: see %s", filepath.Base(name))
+		}
+	}
+	return nil
+}
+
+// fault is one kind of fault with its weight among others.
+type fault struct {
+	name   string
+	weight int
+	inject func(l *Lab, r *rand.Rand) string
+}
+
+// schedule draws the faults of the seed.
+func (s Soak) schedule(l *Lab) {
+	r := rand.New(rand.NewPCG(s.Seed, 1))
+	list := faults()
+	total := 0
+	for _, f := range list {
+		total += f.weight
+	}
+	for at := soakWarmup; at < soakWarmup+s.For; at += time.Duration(r.Int64N(int64(maxPause))) {
+		pick := r.IntN(total)
+		for _, f := range list {
+			if pick -= f.weight; pick < 0 {
+				l.At(at, func() {
+					_, _ = fmt.Fprintf(s.Out, "%.3f s: %s %s\n", l.Elapsed().Seconds(), f.name, f.inject(l, r))
+				})
+				break
+			}
+		}
+	}
+}
+
+func faults() []fault {
+	return []fault{
+		{"killBalancer", 3, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) { l.RestartBalancer(i, restartDelay(r)) })
+		}},
+		{"leaveBalancer", 3, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) { l.leave(l.balancers[i].vm, l.balancers[i].stop, l.balancers[i].start) })
+		}},
+		{"pauseBalancer", 2, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) { l.suspend(l.balancers[i].vm, restartDelay(r)) })
+		}},
+		{"killAgent", 3, func(l *Lab, r *rand.Rand) string {
+			return onServer(l, r, func(i int) { l.RestartAgent(i, restartDelay(r)) })
+		}},
+		{"leaveAgent", 2, func(l *Lab, r *rand.Rand) string {
+			return onServer(l, r, func(i int) { l.leave(l.servers[i].vm, l.servers[i].stopAgent, l.servers[i].startAgent) })
+		}},
+		{"pauseAgent", 2, func(l *Lab, r *rand.Rand) string {
+			return onServer(l, r, func(i int) { l.suspend(l.servers[i].vm, restartDelay(r)) })
+		}},
+		{"crashServer", 2, func(l *Lab, r *rand.Rand) string {
+			return onServer(l, r, func(i int) { l.CrashServer(i, restartDelay(r)) })
+		}},
+		{"reload", 2, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) { l.real.signal(l.balancers[i].vm, syscall.SIGHUP) })
+		}},
+		{"platform", 3, func(l *Lab, r *rand.Rand) string {
+			mode := standin.Mode(r.IntN(int(standin.Slow) + 1))
+			l.real.store.SetMode(mode)
+			l.after(restartDelay(r)*2, func() { l.real.store.SetMode(standin.Up) })
+			return fmt.Sprintf("mode %d", mode)
+		}},
+		{"refuse", 2, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) {
+				ip := l.balancers[i].ip
+				l.real.store.Refuse(ip, true)
+				l.after(restartDelay(r)*2, func() { l.real.store.Refuse(ip, false) })
+			})
+		}},
+		{"loss", 2, func(l *Lab, r *rand.Rand) string {
+			l.real.loss = r.Float64() / 10
+			l.after(restartDelay(r), func() { l.real.loss = 0 })
+			return fmt.Sprintf("share %.3f", l.real.loss)
+		}},
+		{"routes", 2, func(l *Lab, _ *rand.Rand) string {
+			version := l.platform.routes.Version + 1
+			l.SetRoutes(version, soakKinds, []string{soakService.Name, soakService.Name})
+			return fmt.Sprintf("version %d", version)
+		}},
+		{"killAll", 1, func(l *Lab, r *rand.Rand) string { l.KillAll(restartDelay(r)); return "" }},
+	}
+}
+
+// restartDelay draws how long a fault lasts.
+func restartDelay(r *rand.Rand) time.Duration {
+	return 100*time.Millisecond + time.Duration(r.Int64N(int64(1500*time.Millisecond)))
+}
+
+// onBalancer and onServer draw a VM whose process runs.
+func onBalancer(l *Lab, r *rand.Rand, f func(i int)) string {
+	i := r.IntN(len(l.balancers))
+	if l.real.exited(l.balancers[i].vm) {
+		return "(down already)"
+	}
+	f(i)
+	return l.balancers[i].ip.String()
+}
+
+func onServer(l *Lab, r *rand.Rand, f func(i int)) string {
+	i := r.IntN(len(l.servers))
+	if l.real.exited(l.servers[i].vm) || !l.servers[i].alive {
+		return "(down already)"
+	}
+	f(i)
+	return l.servers[i].ip.String()
+}
+
+// suspend stops a process and lets it go on later.
+func (l *Lab) suspend(v *vm, d time.Duration) {
+	v.disturbed = l.clock.Now()
+	epoch := v.epoch
+	l.real.signal(v, syscall.SIGSTOP)
+	l.after(d, func() {
+		v.disturbed = l.clock.Now()
+		if v.epoch == epoch {
+			l.real.signal(v, syscall.SIGCONT)
+		}
+	})
+}
+
+// leave tells a process to leave, and starts it again when it has, or when its
+// grace time is over.
+func (l *Lab) leave(v *vm, stop, start func()) {
+	v.disturbed = l.clock.Now()
+	epoch, started := v.epoch, l.clock.Now()
+	l.real.signal(v, syscall.SIGTERM)
+	var check func()
+	check = func() {
+		switch {
+		case v.epoch != epoch:
+		case l.real.exited(v):
+			stop()
+			start()
+		case l.clock.Since(started) > graceTime:
+			l.find("exit: the process of %s did not leave within its grace time", v.ip)
+			stop()
+			start()
+		default:
+			l.after(100*time.Millisecond, check)
+		}
+	}
+	l.after(100*time.Millisecond, check)
+}
--- /dev/null
+++ b/internal/lab/packetlab/soak_test.go
@@ -0,0 +1,56 @@
+package packetlab
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bergamotgw/bergamotgw/internal/packetcli"
+)
+
+// programVariable makes a child of the test binary run the program.
+const programVariable = "BERGAMOTFLOW_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(packetcli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// TestSoak plays the seeds of testdata/soak: one that CI keeps, and each that
+// ever broke a promise, with a line on the cause.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	t.Setenv(programVariable, "1")
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	datadriven.RunTest(t, "testdata/soak/seeds", func(t *testing.T, d *datadriven.TestData) string {
+		var seed int
+		var length string
+		d.ScanArgs(t, "seed", &seed)
+		d.ScanArgs(t, "for", &length)
+		faulted, err := time.ParseDuration(length)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		s := Soak{Program: program, Seed: uint64(seed), For: faulted, Balancers: 4, Servers: 6, Dir: t.TempDir(), Out: &out, Result: &out}
+		findings, err := s.Run()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(out.String())
+		if len(findings) == 0 {
+			return "promises kept"
+		}
+		return strings.Join(findings, "\n")
+	})
+}
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -27,6 +27,7 @@
 	Fabric     fabricCommand     `cmd:"" help:"Run a stand-in for the network fabric."`
 	Backend    backendCommand    `cmd:"" help:"Run a stand-in for a backend server."`
 	Experiment experimentCommand `cmd:"" help:"Measure placement under load and faults."`
+	Soak       soakCommand       `cmd:"" help:"Run processes of packet flows under random faults, and check the promises."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure how cost grows with size, and draw plots."`
 }
 
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -40,6 +40,8 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// A SIGHUP before its handler is set would end the process.
+	defer signal.Stop(catchSignals())
 	var c commands
 	exit, exited := exitOK, false
 	parser, err := kong.New(&c,
@@ -78,8 +80,7 @@
 // run loads the settings of a process and serves it under signals: SIGTERM and
 // SIGINT make it leave, SIGHUP reads the log level again.
 func run[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, build func(T, *eventlog.Log) (process, error)) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := catchSignals()
 	defer signal.Stop(signals)
 	s, err := packetsettings.Load[T](path)
 	if err != nil {
@@ -115,6 +116,13 @@
 	}
 }
 
+// catchSignals returns a channel with the signals that a process handles.
+func catchSignals() chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 func reload[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, log *eventlog.Log) {
 	s, err := packetsettings.Load[T](path)
 	if err != nil {
