Never call a search complete after an agent was passed over

The mark now goes along with the pages. Ruled out: entries that vanished (46 servers listed throughout), a mismatch at the holder (none logged).

--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -129,7 +129,7 @@
 func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, search steer.Envelope) {
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
-	e.Attempt, e.Page, e.List = search.Attempt, search.Page, search.List
+	e.Attempt, e.Page, e.List, e.Partial = search.Attempt, search.Page, search.List, search.Partial
 	b.mu.Lock()
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -325,8 +325,9 @@
 // Walk adds a page of the agents of the services that may hold an unknown flow,
 // most likely first. Later attempts start elsewhere, so that an agent that does
 // not answer cannot hide the others. Agents known not to answer are passed over,
-// and appended to aside: each is sent a copy of its own. The pages of one search
-// are complete only if they come from one list of agents.
+// and appended to aside: each is sent a copy of its own. A search is complete only
+// if its pages come from one list of agents, and none passed over an agent whose
+// server may live, even if that agent has answered since.
 func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
 	for _, service := range services {
@@ -339,7 +340,9 @@
 	n := len(s.scored)
 	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
 	e.More = end < n
-	e.Complete = !e.More && (e.Page == 0 || e.List == s.listed)
+	e.Partial = e.Partial || e.Page > 0 && e.List != s.listed ||
+		slices.ContainsFunc(s.scored, func(c scored) bool { return c.agent.mayHideFlow(now) })
+	e.Complete = !e.More && !e.Partial
 	e.List = s.listed
 	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
 		at := (i + int(e.Attempt)/2*attemptStep) % n
@@ -352,7 +355,6 @@
 			e.Append(candidate(a))
 		}
 	}
-	e.Complete = e.Complete && !slices.ContainsFunc(s.scored, func(c scored) bool { return c.agent.mayHideFlow(now) })
 	return aside
 }
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -31,7 +31,7 @@
 		now := start
 		s := NewSelection("a", testPort, testRetain)
 		revision := uint64(0)
-		var list uint16
+		var latest steer.Envelope
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "servers":
@@ -54,7 +54,7 @@
 			case "spread":
 				return spread(t, d, s, now)
 			case "walk":
-				return walk(t, d, s, &list, now)
+				return walk(t, d, s, &latest, now)
 			case "hopeless":
 				var e steer.Envelope
 				s.Choices(&e, 1, "pass", now)
@@ -151,14 +151,17 @@
 	return strings.Join(lo.Map(keys, func(k string, _ int) string { return fmt.Sprintf("%s:%d", k, counts[k]) }), " ")
 }
 
-// walk prints a page of a search; further pages belong to the list of the latest.
-func walk(t *testing.T, d *datadriven.TestData, s *Selection, latest *uint16, now time.Time) string {
+// walk prints a page of a search; further pages belong to the latest search.
+func walk(t *testing.T, d *datadriven.TestData, s *Selection, latest *steer.Envelope, now time.Time) string {
 	attempt, page := 0, 0
 	d.MaybeScanArgs(t, "attempt", &attempt)
 	d.MaybeScanArgs(t, "page", &page)
-	e := steer.Envelope{Attempt: uint8(attempt), Page: uint8(page), List: *latest}
+	e := steer.Envelope{Attempt: uint8(attempt), Page: uint8(page)}
+	if page > 0 {
+		e.List, e.Partial = latest.List, latest.Partial
+	}
 	aside := s.Walk(&e, nil, s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, now)
-	*latest = e.List
+	*latest = e
 	list := lo.Map(e.Candidates[:e.Count], func(c steer.Candidate, _ int) string { return number(c) })
 	out := fmt.Sprintf("agents %s", strings.Join(list, " "))
 	if len(list) > 12 {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -70,6 +70,7 @@
 	takeFlag
 	onceFlag
 	moreFlag
+	partialFlag
 )
 
 // Candidate is an agent that may hold or take a flow.
@@ -104,6 +105,9 @@
 	// Complete is true if, with the candidates of this page, all agents of the
 	// service have been asked.
 	Complete bool
+	// Partial is true if this page or one before passed over an agent whose server
+	// may hold the flow.
+	Partial bool
 	// More is true if there is a further page of candidates.
 	More bool
 	// Page numbers the pages of a search, from 0.
@@ -154,7 +158,8 @@
 func (e *Envelope) Put(b []byte) {
 	b[0] = magic
 	b[kindOffset] = byte(e.Kind)
-	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag)
+	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag) |
+		flag(e.Partial, partialFlag)
 	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
 	binary.BigEndian.PutUint16(b[listOffset:], e.List)
 	b[hopOffset] = e.Hop
@@ -184,6 +189,7 @@
 	e.Complete = b[flagsOffset]&completeFlag != 0
 	e.Take = b[flagsOffset]&takeFlag != 0
 	e.More = b[flagsOffset]&moreFlag != 0
+	e.Partial = b[flagsOffset]&partialFlag != 0
 	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
 	e.List = binary.BigEndian.Uint16(b[listOffset:])
 	e.Hop, e.Count = b[hopOffset], b[countOffset]
