--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -223,8 +223,12 @@
 	}
 }
 
-// start starts a process on a VM, whose log is appended to.
+// start starts a process on a VM, whose log is appended to. It returns nil if
+// one runs there already, as after overlapping faults.
 func (r *real) start(v *vm, command string, settings any) *process {
+	if !r.exited(v) {
+		return nil
+	}
 	raw, err := json.Marshal(settings)
 	if err != nil {
 		r.lab.find("lab: %v", err)
