Tell a starting balancer which entries have lapsed lately

A balancer that restarted while entries of live servers were missing from the platform knew nothing of those servers, and could have called a search complete without them. Balancers remember lapsed servers for 5 s and tell them; searches of a balancer reset nothing before it has asked the others.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
@@ -38,14 +39,24 @@
 	Source Source
 	// Send sends a datagram to another balancer.
 	Send func(b []byte, to netip.AddrPort)
-	// Changed is called after every change of the catalog.
-	Changed func(c *catalog.Catalog)
+	// Changed is called after every change of the catalog, with the servers that
+	// are no longer listed since a short time.
+	Changed func(c *catalog.Catalog, lapsed []Lapsed)
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log takes events.
 	Log *eventlog.Log
 }
 
+// Lapsed is a server that is no longer listed. Entries of live servers may lapse
+// in an outage and return.
+type Lapsed struct {
+	// Server is its latest entry.
+	Server catalog.Server
+	// Since is when the entry was first missing.
+	Since time.Time
+}
+
 // Directory keeps the catalog of a balancer. It is safe for concurrent use.
 type Directory struct {
 	config Config
@@ -65,8 +76,14 @@
 	fetching map[netip.AddrPort]bool
 	// readFailed is when the platform was lost; zero while it answers.
 	readFailed time.Time
-	leaving    bool
-	counts     Counts
+	// lapsed holds servers by ID that are no longer listed since a short time.
+	lapsed map[string]Lapsed
+	// corroborated is true once the balancers that run for longer have told what
+	// lapsed before this one started.
+	corroborated bool
+	started      time.Time
+	leaving      bool
+	counts       Counts
 }
 
 // Counts are totals since the start.
@@ -84,6 +101,8 @@
 		server:   rpc.NewServer(c.Self.Addr()),
 		members:  make(map[netip.AddrPort]time.Time),
 		fetching: make(map[netip.AddrPort]bool),
+		lapsed:   make(map[string]Lapsed),
+		started:  c.Clock.Now(),
 	}
 	d.catalog.Store(catalog.NewCatalog())
 	rpc.Handle(d.server, catalogMethod, d.serveCatalog)
@@ -135,7 +154,23 @@
 	}
 	d.config.Log.Info("routesChanged").Uint64("version", r.Version).
 		Uint64("former", before.Routes.Version).Int("routes", len(r.List)).Str("source", from).Send()
-	d.config.Changed(next)
+	d.changed()
+}
+
+// changed tells the newest catalog.
+func (d *Directory) changed() {
+	d.mu.Lock()
+	c, lapsed := d.catalog.Load(), lo.Values(d.lapsed)
+	d.mu.Unlock()
+	d.config.Changed(c, lapsed)
+}
+
+// Corroborated reports whether the servers known are all that may live: the
+// balancers that run for longer have told which entries lapsed lately.
+func (d *Directory) Corroborated() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.corroborated
 }
 
 // takeServers puts a reading of the servers in force unless it is older than
@@ -151,6 +186,7 @@
 	changed := sum != d.sum || before.Servers.Revision == 0
 	next := before.WithServers(s)
 	d.catalog.Store(next)
+	d.noteLapsed(before.Servers.List, s.List)
 	d.sum = sum
 	if at := d.config.Clock.Now().Add(-age); at.After(d.readAt) {
 		d.readAt = at
@@ -160,7 +196,25 @@
 		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
 	}
-	d.config.Changed(next)
+	d.changed()
+}
+
+// noteLapsed remembers the servers that are no longer listed.
+func (d *Directory) noteLapsed(before, after []catalog.Server) {
+	now := d.config.Clock.Now()
+	for _, v := range before {
+		if _, known := d.lapsed[v.ID]; !known {
+			d.lapsed[v.ID] = Lapsed{Server: v, Since: now}
+		}
+	}
+	for _, v := range after {
+		delete(d.lapsed, v.ID)
+	}
+	for id, l := range d.lapsed {
+		if now.Sub(l.Since) > rememberLapsed {
+			delete(d.lapsed, id)
+		}
+	}
 }
 
 // freshness returns what a digest tells.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -103,7 +103,7 @@
 				other.HandleDigest(ctx, append([]byte(nil), b...), self)
 			}
 		},
-		Changed: func(*catalog.Catalog) {},
+		Changed: func(*catalog.Catalog, []Lapsed) {},
 		Clock:   clockwork.NewRealClock(),
 		Log:     eventlog.NewDirectLog(zerolog.Nop(), clockwork.NewRealClock()),
 	})
@@ -201,6 +201,29 @@
 	}
 }
 
+// TestLapsedEntriesAreTold checks that a balancer that starts while entries of
+// live servers are missing learns of them from one that saw them.
+func TestLapsedEntriesAreTold(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 1, "a", "b")
+	first := f.start(1)
+	await(t, first, 1, 1, changeBound)
+	f.store.publish(1, 2, "a")
+	await(t, first, 1, 2, changeBound)
+	late := f.start(2)
+	await(t, late, 1, 2, changeBound)
+	for deadline := time.Now().Add(time.Second); !late.Corroborated(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not corroborated")
+		}
+	}
+	late.mu.Lock()
+	defer late.mu.Unlock()
+	if l, ok := late.lapsed["b"]; !ok || time.Since(l.Since) > changeBound {
+		t.Errorf("lapsed %v, want server b", late.lapsed)
+	}
+}
+
 // TestNothingGoesBack checks that older routes and readings change nothing.
 func TestNothingGoesBack(t *testing.T) {
 	f := newFleet(t)
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -21,6 +22,11 @@
 	maxDigests = 16
 	// forgetAfter is how long a silent balancer still gets digests.
 	forgetAfter = 60 * time.Second
+	// rememberLapsed is how long a server that is no longer listed is remembered;
+	// entries that lapsed in an outage return sooner.
+	rememberLapsed = 5 * time.Second
+	// seedTimeout bounds the wait for the balancers named in the settings.
+	seedTimeout = time.Second
 	// settle is how much newer another balancer's reading must be to be fetched
 	// although it lists the same servers.
 	settle = 100 * time.Millisecond
@@ -40,6 +46,15 @@
 	Servers *catalog.Servers `json:"servers,omitempty"`
 	// AgeMillis is the time since the servers were read.
 	AgeMillis int64 `json:"ageMillis"`
+	// UptimeMillis is the time since the balancer started.
+	UptimeMillis int64 `json:"uptimeMillis"`
+	// Lapsed are servers that are no longer listed since a short time.
+	Lapsed []lapsedEntry `json:"lapsed,omitempty"`
+}
+
+type lapsedEntry struct {
+	Server        catalog.Server `json:"server"`
+	MissingMillis int64          `json:"missingMillis"`
 }
 
 // exchange sends digests at intervals.
@@ -107,12 +122,13 @@
 		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-settle))
 	if newer && !d.fetching[from] {
 		d.fetching[from] = true
-		go d.fetch(ctx, from)
+		go func() { _ = d.fetch(ctx, from) }()
 	}
 }
 
-// fetch takes what another balancer has newer.
-func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) {
+// fetch takes what another balancer has newer, and returns how long that one
+// runs; 0 if it did not answer.
+func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) (uptime time.Duration) {
 	defer func() {
 		d.mu.Lock()
 		delete(d.fetching, from)
@@ -122,7 +138,7 @@
 	c, err := d.server.Dial(ctx, address.String())
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
-		return
+		return 0
 	}
 	defer func() { _ = c.Close() }()
 	have := d.catalog.Load()
@@ -130,7 +146,7 @@
 	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
-		return
+		return 0
 	}
 	d.counts.Fetches.Add(1)
 	if r.Routes != nil {
@@ -140,11 +156,36 @@
 		age := time.Duration(r.AgeMillis)*time.Millisecond + d.config.Clock.Since(asked)
 		d.takeServers(*r.Servers, age, from.String())
 	}
+	d.takeLapsed(r.Lapsed)
+	return time.Duration(r.UptimeMillis) * time.Millisecond
+}
+
+// takeLapsed remembers what another balancer knows to have lapsed.
+func (d *Directory) takeLapsed(list []lapsedEntry) {
+	if len(list) == 0 {
+		return
+	}
+	now := d.config.Clock.Now()
+	d.mu.Lock()
+	listed := d.catalog.Load().Servers.List
+	for _, l := range list {
+		if !lo.ContainsBy(listed, func(v catalog.Server) bool { return v.ID == l.Server.ID }) {
+			d.lapsed[l.Server.ID] = Lapsed{Server: l.Server, Since: now.Add(-time.Duration(l.MissingMillis) * time.Millisecond)}
+		}
+	}
+	d.mu.Unlock()
+	d.changed()
 }
 
 func (d *Directory) serveCatalog(_ context.Context, _ *rpc.Conn, p catalogParams) (catalogResult, error) {
 	c := d.catalog.Load()
-	var r catalogResult
+	now := d.config.Clock.Now()
+	r := catalogResult{UptimeMillis: now.Sub(d.started).Milliseconds()}
+	d.mu.Lock()
+	for _, l := range d.lapsed {
+		r.Lapsed = append(r.Lapsed, lapsedEntry{l.Server, now.Sub(l.Since).Milliseconds()})
+	}
+	d.mu.Unlock()
 	if c.Routes.Version > p.ConfigVersion {
 		r.Routes = &c.Routes
 	}
@@ -157,14 +198,27 @@
 }
 
 // askSeeds takes the catalog of the balancers named in the settings, so that a
-// restarted balancer serves while the platform is down.
+// restarted balancer serves while the platform is down, and knows which entries
+// of live servers lapsed before it started.
 func (d *Directory) askSeeds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
 	for _, s := range d.targets() {
-		if d.Catalog().Complete() || ctx.Err() != nil {
-			return
-		}
-		d.fetch(ctx, s)
+		wg.Go(func() {
+			if d.fetch(ctx, s) > rememberLapsed {
+				d.setCorroborated()
+			}
+		})
 	}
+	wg.Wait()
+	d.setCorroborated()
+}
+
+func (d *Directory) setCorroborated() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.corroborated = true
 }
 
 // listen serves calls of other balancers.
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -91,16 +91,17 @@
 		return
 	}
 	b.balancer = packetbalancer.NewWiredBalancer(packetbalancer.Config{
-		Front:     netip.AddrPortFrom(b.ip, frontPort),
-		Back:      b.back(),
-		Zone:      b.zone,
-		AgentPort: agentPort,
-		MaxFlow:   maxFlow,
-		Codec:     l.codec,
-		Catalog:   func() *catalog.Catalog { return b.catalog },
-		Digest:    func(context.Context, []byte, netip.AddrPort) {},
-		Clock:     l.clock,
-		Log:       l.eventLog(b.vm),
+		Front:        netip.AddrPortFrom(b.ip, frontPort),
+		Back:         b.back(),
+		Zone:         b.zone,
+		AgentPort:    agentPort,
+		MaxFlow:      maxFlow,
+		Codec:        l.codec,
+		Catalog:      func() *catalog.Catalog { return b.catalog },
+		Corroborated: func() bool { return true },
+		Digest:       func(context.Context, []byte, netip.AddrPort) {},
+		Clock:        l.clock,
+		Log:          l.eventLog(b.vm),
 	}, packetbalancer.Wire{
 		ToFleet: func(raw []byte, to netip.AddrPort) error { l.send(raw, b.back(), to); return nil },
 		ToCaller: func(raw []byte, to netip.AddrPort) error {
--- a/internal/labcli/soak.go
+++ b/internal/labcli/soak.go
@@ -1,6 +1,7 @@
 package labcli
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -24,8 +25,8 @@
 	Logs      string        `default:"soak" type:"path" help:"Folder for settings and logs, one folder a seed; those of seeds without a finding are removed."`
 }
 
-// Run plays the seeds, and fails if any broke a promise.
-func (c *soakCommand) Run(stdout io.Writer) error {
+// Run plays the seeds until it is told to stop, and fails if any broke a promise.
+func (c *soakCommand) Run(ctx context.Context, stdout io.Writer) error {
 	program := c.Program
 	if program == "" {
 		found, err := exec.LookPath("bergamotflow")
@@ -36,6 +37,9 @@
 	}
 	broken := 0
 	for i := range c.Seeds {
+		if ctx.Err() != nil {
+			return merry.Errorf("stopped after %d of %d seeds", i, c.Seeds)
+		}
 		findings, err := c.play(program, c.Seed+uint64(i), stdout)
 		if err != nil {
 			return err
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -130,6 +130,7 @@
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
 	e.Attempt, e.Page, e.List, e.Partial = search.Attempt, search.Page, search.List, search.Partial
+	e.Partial = e.Partial || !b.config.Corroborated()
 	b.mu.Lock()
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -49,6 +49,9 @@
 	Codec packet.Codec
 	// Catalog returns the newest catalog.
 	Catalog func() *catalog.Catalog
+	// Corroborated reports whether the servers in the catalog, and those that were
+	// told to have lapsed, are all that may live.
+	Corroborated func() bool
 	// Digest takes digests of other balancers.
 	Digest func(ctx context.Context, raw []byte, from netip.AddrPort)
 	// Clock measures time.
@@ -160,6 +163,13 @@
 	b.selection.Update(s, b.config.Clock.Now())
 }
 
+// Lapse takes a server that is no longer listed since the given time.
+func (b *Balancer) Lapse(v catalog.Server, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.selection.Lapse(v, since)
+}
+
 // Idle returns the time since the latest packet of a caller.
 func (b *Balancer) Idle() time.Duration {
 	return b.config.Clock.Since(b.started) - time.Duration(b.lastPacket.Load())
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -56,23 +56,29 @@
 			Routes:  store.Routes,
 			Servers: store.Servers,
 		},
-		Send:    func(raw []byte, to netip.AddrPort) { b.forward.Send(raw, to) },
-		Changed: func(c *catalog.Catalog) { b.forward.SetServers(c.Servers) },
-		Clock:   b.clock,
-		Log:     l,
+		Send: func(raw []byte, to netip.AddrPort) { b.forward.Send(raw, to) },
+		Changed: func(c *catalog.Catalog, lapsed []directory.Lapsed) {
+			b.forward.SetServers(c.Servers)
+			for _, l := range lapsed {
+				b.forward.Lapse(l.Server, l.Since)
+			}
+		},
+		Clock: b.clock,
+		Log:   l,
 	})
 	var err error
 	b.forward, err = packetbalancer.NewBalancer(packetbalancer.Config{
-		Front:     s.Front,
-		Back:      s.Back,
-		Zone:      s.Zone,
-		AgentPort: s.AgentPort,
-		MaxFlow:   s.MaxFlow(),
-		Codec:     platform.PacketCodec(),
-		Catalog:   b.directory.Catalog,
-		Digest:    b.directory.HandleDigest,
-		Clock:     b.clock,
-		Log:       l,
+		Front:        s.Front,
+		Back:         s.Back,
+		Zone:         s.Zone,
+		AgentPort:    s.AgentPort,
+		MaxFlow:      s.MaxFlow(),
+		Codec:        platform.PacketCodec(),
+		Catalog:      b.directory.Catalog,
+		Corroborated: b.directory.Corroborated,
+		Digest:       b.directory.HandleDigest,
+		Clock:        b.clock,
+		Log:          l,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -122,6 +122,18 @@
 	s.group()
 }
 
+// Lapse takes a server that is no longer listed since the given time, which this
+// balancer may never have seen listed.
+func (s *Selection) Lapse(v catalog.Server, since time.Time) {
+	address := netip.AddrPortFrom(v.Address, s.port)
+	if s.agents[address] != nil {
+		return
+	}
+	s.list(address, v, since)
+	s.agents[address].Missing = since
+	s.group()
+}
+
 // newest returns the servers by the address of their agent. A server that
 // restarted under another ID is listed twice until the former entry lapses.
 func (s *Selection) newest(servers catalog.Servers) map[netip.AddrPort]catalog.Server {
