--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -38,7 +38,7 @@
 
 // forward routes one packet, which begins at steer.MaxLen in buf.
 func (b *Balancer) forward(buf []byte) {
-	b.lastPacket.Store(int64(b.config.Clock.Since(b.started)))
+	b.packets.Add(1)
 	p, ok := b.config.Codec.Parse(buf[steer.MaxLen:])
 	if !ok || p.Bounced {
 		b.counts.Malformed.Add(1)
@@ -54,14 +54,14 @@
 		b.place(buf, p, flow, route)
 		return
 	}
-	at, ok := b.cache.Get(flow)
+	at, ok := b.cache.Refresh(flow)
 	if ok && at.agent.IsValid() {
 		b.counts.Cached.Add(1)
-		b.cache.Put(flow, at)
-		e := b.envelope(route)
-		e.Cached = true
-		e.Append(steer.Candidate{Agent: at.agent})
-		b.send(&e, buf)
+		b.cached.Clear()
+		b.address(&b.cached, route)
+		b.cached.Cached = true
+		b.cached.Append(steer.Candidate{Agent: at.agent})
+		b.send(&b.cached, buf)
 		return
 	}
 	b.walk(buf, flow, route, steer.Envelope{Attempt: at.attempts})
@@ -76,13 +76,14 @@
 	}
 }
 
-func (b *Balancer) envelope(route *catalog.Route) steer.Envelope {
-	return steer.Envelope{
-		Kind:     steer.Forward,
-		Class:    route.Class,
-		Balancer: b.config.Back,
-		Best:     steer.NoBest,
-	}
+func (b *Balancer) envelope(route *catalog.Route) (e steer.Envelope) {
+	b.address(&e, route)
+	return e
+}
+
+// address fills in what is alike for all packets of a route.
+func (b *Balancer) address(e *steer.Envelope, route *catalog.Route) {
+	e.Kind, e.Class, e.Balancer, e.Best = steer.Forward, route.Class, b.config.Back, steer.NoBest
 }
 
 // place offers a new flow to the agents with the shortest expected delay. A
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -25,8 +25,11 @@
 const (
 	// cacheLimit bounds each of the two generations of the cache, in flows.
 	cacheLimit = 200_000
-	// PingInterval is the pause between rounds of pings.
-	PingInterval = 250 * time.Millisecond
+	// PingInterval is the pause between rounds of pings to agents that do not
+	// answer: no search is complete before they do.
+	PingInterval = 100 * time.Millisecond
+	// freshReport is the age of a report after which an agent that answers is pinged.
+	freshReport = 250 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is read.
 	maxDatagramBytes = 2048
 	// socketBufferBytes is the size of the kernel's receive buffers.
@@ -67,14 +70,14 @@
 	// front and back are nil in a wired balancer.
 	front *net.UDPConn
 	back  *net.UDPConn
-	// buf holds the packet that FromCaller forwards, with room for its envelope.
+	// buf holds the packet that is forwarded, with room for its envelope. It and
+	// cached, the envelope of known flows, belong to the task that reads callers.
 	buf    []byte
+	cached steer.Envelope
 	cache  *recent.Map[packet.Flow, place]
 	counts Counts
-	// lastPacket is when the latest packet of a caller came, in nanoseconds since
-	// started.
-	lastPacket atomic.Int64
-	started    time.Time
+	// packets counts the packets of callers.
+	packets atomic.Uint64
 
 	mu        sync.Mutex
 	selection *selection.Selection
@@ -124,7 +127,6 @@
 		wire:      w,
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow),
-		started:   c.Clock.Now(),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 	}
 }
@@ -170,9 +172,9 @@
 	b.selection.Lapse(v, since)
 }
 
-// Idle returns the time since the latest packet of a caller.
-func (b *Balancer) Idle() time.Duration {
-	return b.config.Clock.Since(b.started) - time.Duration(b.lastPacket.Load())
+// Packets returns the number of packets of callers since the start.
+func (b *Balancer) Packets() uint64 {
+	return b.packets.Load()
 }
 
 // Send sends a datagram to another balancer.
@@ -201,7 +203,7 @@
 	now := b.config.Clock.Now()
 	b.mu.Lock()
 	b.selection.Turned(now, b.logTurn)
-	stale := b.selection.Stale(now.Add(-PingInterval), nil)
+	stale := b.selection.Stale(now.Add(-freshReport), now)
 	for _, a := range stale {
 		b.selection.Asked(a, now)
 	}
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -119,14 +119,21 @@
 	}
 }
 
+// waitIdle waits until no packets have come for a while, or the grace time is
+// nearly over.
 func (b *balancer) waitIdle() {
 	started := b.clock.Now()
 	limit := b.settings.Grace() - leaveReserve
+	packets, idleSince := b.forward.Packets(), started
 	for {
-		elapsed := b.clock.Since(started)
-		if elapsed >= limit || elapsed >= minLeave && b.forward.Idle() >= idleLeave {
+		<-b.clock.After(leavePoll)
+		now := b.clock.Now()
+		if p := b.forward.Packets(); p != packets {
+			packets, idleSince = p, now
+		}
+		elapsed := now.Sub(started)
+		if elapsed >= limit || elapsed >= minLeave && now.Sub(idleSince) >= idleLeave {
 			return
 		}
-		<-b.clock.After(leavePoll)
 	}
 }
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -76,10 +76,17 @@
 	m.turned = now
 }
 
-// Delete forgets a value.
-func (m *Map[K, V]) Delete(key K) {
+// Refresh returns a stored value, and keeps it for a further lifetime.
+func (m *Map[K, V]) Refresh(key K) (V, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.young, key)
-	delete(m.old, key)
+	m.turn()
+	if v, ok := m.young[key]; ok {
+		return v, true
+	}
+	v, ok := m.old[key]
+	if ok {
+		m.young[key] = v
+	}
+	return v, ok
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -216,10 +216,12 @@
 	return a.Missing.IsZero() || now.Sub(a.Missing) < lapseGrace
 }
 
-// Stale appends the agents without a report since the given time to list.
-func (s *Selection) Stale(since time.Time, list []netip.AddrPort) []netip.AddrPort {
+// Stale returns the agents to ask for a report: those whose latest is older than
+// the given time, and those that do not answer.
+func (s *Selection) Stale(since, now time.Time) []netip.AddrPort {
+	var list []netip.AddrPort
 	for _, a := range s.agents {
-		if a.Heard.Before(since) {
+		if a.Heard.Before(since) || a.suspect(now) {
 			list = append(list, a.Address)
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -141,6 +141,15 @@
 	return HeaderLen + int(e.Count)*candidateLen
 }
 
+// Clear empties the envelope. It leaves what lies behind the list of candidates
+// as it is, which is cheaper than a new envelope.
+func (e *Envelope) Clear() {
+	clear(e.Candidates[:e.Count])
+	e.Kind, e.Cached, e.Complete, e.Partial, e.More, e.Take = 0, false, false, false, false, false
+	e.Page, e.Attempt, e.List, e.Hop, e.Count = 0, 0, 0, 0, 0
+	e.Class, e.Service, e.Balancer, e.Best, e.BestDelayMillis = Class{}, 0, netip.AddrPort{}, 0, 0
+}
+
 // Append adds a candidate. A full list is left as it is.
 func (e *Envelope) Append(c Candidate) {
 	if int(e.Count) < MaxCandidates {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -47,6 +47,9 @@
 		if !ok || string(rest) != "abc" || got != e {
 			t.Fatalf("decoded %t %q %+v, want %+v", ok, rest, got, e)
 		}
+		if got.Clear(); got != (Envelope{}) {
+			t.Fatalf("cleared %+v", got)
+		}
 	})
 }
 
