--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -25,8 +25,9 @@
 	// rememberLapsed is how long a server that is no longer listed is remembered;
 	// entries that lapsed in an outage return sooner.
 	rememberLapsed = 5 * time.Second
-	// seedTimeout bounds the wait for the balancers named in the settings.
-	seedTimeout = time.Second
+	// seedTimeout bounds the wait for the balancers named in the settings, which
+	// answer within some round trips unless they are down.
+	seedTimeout = 300 * time.Millisecond
 	// settle is how much newer another balancer's reading must be to be fetched
 	// although it lists the same servers.
 	settle = 100 * time.Millisecond
