Corroborate what a starting balancer knows with those that know more

A balancer now counts as knowing only after it has read the platform for 3 s, or was told by one that does; until then it resets flows only if no other knows more and every listed server has just started, as after a loss of power. How long an entry is missing counts by readings of the platform, not by the clock.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -65,8 +65,9 @@
 	catalog atomic.Pointer[catalog.Catalog]
 
 	mu sync.Mutex
-	// readAt is when the catalog was read, here or elsewhere.
-	readAt time.Time
+	// firstReadAt and readAt are when the first catalog and the one in force were
+	// read, here or elsewhere.
+	firstReadAt, readAt time.Time
 	// sum is the hash of the servers in the catalog.
 	sum uint64
 	// members holds when each other balancer was last heard; zero for those that
@@ -78,12 +79,14 @@
 	readFailed time.Time
 	// lapsed holds servers by ID that are no longer listed since a short time.
 	lapsed map[string]Lapsed
-	// corroborated is true once the balancers that run for longer have told what
-	// lapsed before this one started.
-	corroborated bool
-	started      time.Time
-	leaving      bool
-	counts       Counts
+	// told is true once a balancer that knows every server that may live has told
+	// what lapsed; othersKnow once one said that it knows.
+	told, othersKnow bool
+	// seedsAsked is true once the balancers named in the settings have answered or
+	// failed to.
+	seedsAsked bool
+	leaving    bool
+	counts     Counts
 }
 
 // Counts are totals since the start.
@@ -102,7 +105,6 @@
 		members:  make(map[netip.AddrPort]time.Time),
 		fetching: make(map[netip.AddrPort]bool),
 		lapsed:   make(map[string]Lapsed),
-		started:  c.Clock.Now(),
 	}
 	d.catalog.Store(catalog.NewCatalog())
 	rpc.Handle(d.server, catalogMethod, d.serveCatalog)
@@ -165,12 +167,32 @@
 	d.config.Changed(c, lapsed)
 }
 
-// Corroborated reports whether the servers known are all that may live: the
-// balancers that run for longer have told which entries lapsed lately.
+// Corroborated reports whether the servers known are all that may live: a
+// balancer that knows has told which entries lapsed lately, or this one has read
+// the platform for long enough to have seen them return.
 func (d *Directory) Corroborated() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.corroborated
+	return d.knows()
+}
+
+func (d *Directory) knows() bool {
+	return d.told || d.readAt.Sub(d.firstReadAt) > settleTime
+}
+
+// Alone reports whether no other balancer is known to know more: all of them have
+// just started, as after a loss of power.
+func (d *Directory) Alone() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seedsAsked && !d.othersKnow
+}
+
+// ReadAt returns when the catalog was read, here or elsewhere.
+func (d *Directory) ReadAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readAt
 }
 
 // takeServers puts a reading of the servers in force unless it is older than
@@ -191,6 +213,9 @@
 	if at := d.config.Clock.Now().Add(-age); at.After(d.readAt) {
 		d.readAt = at
 	}
+	if d.firstReadAt.IsZero() {
+		d.firstReadAt = d.readAt
+	}
 	d.mu.Unlock()
 	if changed {
 		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).
@@ -228,6 +253,7 @@
 		Age:           d.config.Clock.Since(d.readAt),
 		Sum:           d.sum,
 		Leaving:       d.leaving,
+		Corroborated:  d.knows(),
 	}
 }
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -28,6 +28,9 @@
 	// seedTimeout bounds the wait for the balancers named in the settings, which
 	// answer within some round trips unless they are down.
 	seedTimeout = 300 * time.Millisecond
+	// settleTime is how long a balancer reads the platform before it has seen all
+	// entries return that lapsed in an outage: they are back within 2 s.
+	settleTime = 3 * time.Second
 	// settle is how much newer another balancer's reading must be to be fetched
 	// although it lists the same servers.
 	settle = 100 * time.Millisecond
@@ -47,8 +50,8 @@
 	Servers *catalog.Servers `json:"servers,omitempty"`
 	// AgeMillis is the time since the servers were read.
 	AgeMillis int64 `json:"ageMillis"`
-	// UptimeMillis is the time since the balancer started.
-	UptimeMillis int64 `json:"uptimeMillis"`
+	// Corroborated is true if the balancer knows every server that may live.
+	Corroborated bool `json:"corroborated"`
 	// Lapsed are servers that are no longer listed since a short time.
 	Lapsed []lapsedEntry `json:"lapsed,omitempty"`
 }
@@ -121,15 +124,15 @@
 	}
 	newer := f.ConfigVersion > c.Routes.Version ||
 		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-settle))
-	if newer && !d.fetching[from] {
+	d.othersKnow = d.othersKnow || f.Corroborated
+	if (newer || f.Corroborated && !d.knows()) && !d.fetching[from] {
 		d.fetching[from] = true
-		go func() { _ = d.fetch(ctx, from) }()
+		go d.fetch(ctx, from)
 	}
 }
 
-// fetch takes what another balancer has newer, and returns how long that one
-// runs; 0 if it did not answer.
-func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) (uptime time.Duration) {
+// fetch takes what another balancer has newer, and what it knows to have lapsed.
+func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) {
 	defer func() {
 		d.mu.Lock()
 		delete(d.fetching, from)
@@ -139,7 +142,7 @@
 	c, err := d.server.Dial(ctx, address.String())
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
-		return 0
+		return
 	}
 	defer func() { _ = c.Close() }()
 	have := d.catalog.Load()
@@ -147,7 +150,7 @@
 	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
-		return 0
+		return
 	}
 	d.counts.Fetches.Add(1)
 	if r.Routes != nil {
@@ -158,7 +161,9 @@
 		d.takeServers(*r.Servers, age, from.String())
 	}
 	d.takeLapsed(r.Lapsed)
-	return time.Duration(r.UptimeMillis) * time.Millisecond
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told = d.told || r.Corroborated
 }
 
 // takeLapsed remembers what another balancer knows to have lapsed.
@@ -181,8 +186,9 @@
 func (d *Directory) serveCatalog(_ context.Context, _ *rpc.Conn, p catalogParams) (catalogResult, error) {
 	c := d.catalog.Load()
 	now := d.config.Clock.Now()
-	r := catalogResult{UptimeMillis: now.Sub(d.started).Milliseconds()}
+	var r catalogResult
 	d.mu.Lock()
+	r.Corroborated = d.knows()
 	for _, l := range d.lapsed {
 		r.Lapsed = append(r.Lapsed, lapsedEntry{l.Server, now.Sub(l.Since).Milliseconds()})
 	}
@@ -206,20 +212,12 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, s := range d.targets() {
-		wg.Go(func() {
-			if d.fetch(ctx, s) > rememberLapsed {
-				d.setCorroborated()
-			}
-		})
+		wg.Go(func() { d.fetch(ctx, s) })
 	}
 	wg.Wait()
-	d.setCorroborated()
-}
-
-func (d *Directory) setCorroborated() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.corroborated = true
+	d.seedsAsked = true
 }
 
 // listen serves calls of other balancers.
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -141,7 +141,7 @@
 func (l *Lab) PlatformDown(d time.Duration, lapse bool) {
 	l.platform.down = true
 	l.after(d, func() {
-		l.platform.down = false
+		l.platform.down, l.platform.restored = false, l.clock.Now()
 		if !lapse {
 			return
 		}
@@ -164,7 +164,7 @@
 func (l *Lab) CutBalancer(i int, d time.Duration) {
 	b := l.balancers[i]
 	b.cut = true
-	l.after(d, func() { b.cut = false })
+	l.after(d, func() { b.cut, b.disturbed = false, l.clock.Now() })
 }
 
 // address returns the nth service address.
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -65,6 +65,8 @@
 	vms map[netip.Addr]*vm
 	// flows holds what the checks know of each flow.
 	flows map[flowKey]*flowRecord
+	// placedBy holds the balancer that got the latest packet of each flow.
+	placedBy map[flowKey]*balancerVM
 	// once holds the requests that must not run twice, ran those of them that ran.
 	once, ran map[uint64]bool
 	tally     Tally
@@ -100,6 +102,7 @@
 		receivers: make(map[netip.AddrPort]func([]byte, netip.AddrPort)),
 		vms:       make(map[netip.Addr]*vm),
 		flows:     make(map[flowKey]*flowRecord),
+		placedBy:  make(map[flowKey]*balancerVM),
 		once:      make(map[uint64]bool),
 		ran:       make(map[uint64]bool),
 	}
--- /dev/null
+++ b/internal/lab/packetlab/random_test.go
@@ -0,0 +1,129 @@
+package packetlab
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Seeds of TestRandomFaults; by hand, more of them can be played.
+var (
+	firstSeed = flag.Uint64("packetlab.seed", 1, "first seed of TestRandomFaults")
+	seedCount = flag.Int("packetlab.seeds", 24, "number of seeds of TestRandomFaults")
+)
+
+const (
+	randomFrom  = 4 * time.Second
+	randomUntil = 20 * time.Second
+	// randomCalm is the time after the last fault, in which requests must be served.
+	randomCalm = 8 * time.Second
+)
+
+// TestRandomFaults plays series of random faults in virtual time. Whatever the
+// interleaving of restarts, losses, drains, outages and changes of the rotation,
+// no promise may break, and the deployment must recover.
+func TestRandomFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
+}
+
+func playRandom(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	l := NewLab(seed, "zone-a", "zone-b", "zone-c")
+	l.logTo(t, *logFile)
+	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
+	for i := range 6 + r.IntN(40) {
+		l.AddServer(l.zones[i%3], passService, passSpeeds[i%len(passSpeeds)])
+	}
+	portals := 3
+	for i := range portals {
+		l.AddServer(l.zones[i], portalService, 1)
+	}
+	for i := range 6 {
+		l.AddBalancer(l.zones[i%3])
+	}
+	for i := range 60 {
+		c := l.AddCaller(l.zones[i%3])
+		c.Load(sessionKind, time.Second, loadUntil)
+		c.Load(sessionKind, 6*time.Second, loadUntil)
+		c.Load(purchaseKind, 2*time.Second, loadUntil)
+		c.Load(pageKind, 4*time.Second, loadUntil)
+	}
+	var faults []string
+	lost := 0
+	for at := randomFrom; at < randomUntil; at += time.Duration(r.Int64N(int64(1500 * time.Millisecond))) {
+		d := 100*time.Millisecond + time.Duration(r.Int64N(int64(3*time.Second)))
+		kind, pick := r.IntN(12), r.IntN(1000)
+		if (kind == 5 || kind == 6 || kind == 10) && lost >= 3 {
+			continue
+		}
+		if kind == 5 || kind == 6 || kind == 10 {
+			lost++
+		}
+		l.At(at, func() {
+			faults = append(faults, fmt.Sprintf("%.3f s: %s", l.Elapsed().Seconds(), l.randomFault(kind, pick, d)))
+		})
+	}
+	l.Run(randomUntil + randomCalm/2)
+	before := l.tally
+	l.Run(randomUntil + randomCalm)
+	got := l.tally.minus(before)
+	if served := got.InTime + got.Late; float64(served) < 0.97*float64(got.Total()) || got.Total() == 0 {
+		l.find("recovery: %d of %d requests served", served, got.Total())
+	}
+	if len(l.Findings) > 0 {
+		t.Errorf("%v\nfaults:\n%v", l.Findings, faults)
+	}
+}
+
+// randomFault injects one fault and describes it.
+func (l *Lab) randomFault(kind, pick int, d time.Duration) string {
+	b, s := pick%len(l.balancers), pick%len(l.servers)
+	running := l.servers[s].up && l.servers[s].alive
+	switch {
+	case kind == 0 && l.balancers[b].up:
+		l.RestartBalancer(b, d)
+		return fmt.Sprintf("restartBalancer %d %v", b, d)
+	case kind == 1 && running:
+		l.RestartAgent(s, d)
+		return fmt.Sprintf("restartAgent %d %v", s, d)
+	case kind == 2 && running:
+		l.CrashServer(s, d)
+		return fmt.Sprintf("crashServer %d %v", s, d)
+	case kind == 3 && running:
+		l.SlowServer(s, 4, d)
+		return fmt.Sprintf("slowServer %d %v", s, d)
+	case kind == 4 && !l.platform.down:
+		l.PlatformDown(d, pick%2 == 0)
+		return fmt.Sprintf("platformDown %v lapse %t", d, pick%2 == 0)
+	case kind == 5 && running:
+		l.LoseServer(s)
+		return fmt.Sprintf("loseServer %d", s)
+	case kind == 6 && running:
+		l.DrainServer(s, 4*time.Second+d)
+		return fmt.Sprintf("drainServer %d %v", s, d)
+	case kind == 7:
+		l.AddBalancer(l.zones[pick%3])
+		return "addBalancer"
+	case kind == 8:
+		l.AddServer(l.zones[pick%3], passService, 1)
+		return "addServer"
+	case kind == 9:
+		l.CutBalancer(b, d)
+		return fmt.Sprintf("cutBalancer %d %v", b, d)
+	case kind == 10 && running && l.servers[s].service.Name == "pass":
+		l.ReuseAddress(s, portalService, 2*time.Second+d)
+		return fmt.Sprintf("reuseAddress %d %v", s, d)
+	case kind == 11 && pick%3 == 0:
+		l.LosePower(d)
+		return fmt.Sprintf("losePower %v", d)
+	case kind == 11:
+		l.KillAll(d)
+		return fmt.Sprintf("killAll %v", d)
+	default:
+		return "nothing"
+	}
+}
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -93,6 +93,7 @@
 	at, known := b.cache.Get(flow)
 	e := b.envelope(route)
 	b.mu.Lock()
+	b.selection.Read(b.config.ReadAt())
 	hash := b.selection.Hash(flow)
 	service := route.Select(hash)
 	e.Service = catalog.ServiceID(service)
@@ -131,11 +132,13 @@
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
 	e.Attempt, e.Page, e.List, e.Partial = search.Attempt, search.Page, search.List, search.Partial
-	e.Partial = e.Partial || !b.config.Corroborated()
+	corroborated, alone := b.config.Corroborated(), b.config.Alone()
 	b.mu.Lock()
+	b.selection.Read(b.config.ReadAt())
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
+	e.Partial = e.Partial || !corroborated && !(alone && b.selection.AllWarming(services, now))
 	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, now)
 	aside := b.aside
 	b.mu.Unlock()
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -55,6 +55,10 @@
 	// Corroborated reports whether the servers in the catalog, and those that were
 	// told to have lapsed, are all that may live.
 	Corroborated func() bool
+	// Alone reports whether no other balancer knows more of the servers.
+	Alone func() bool
+	// ReadAt returns when the catalog was read from the platform, here or elsewhere.
+	ReadAt func() time.Time
 	// Digest takes digests of other balancers.
 	Digest func(ctx context.Context, raw []byte, from netip.AddrPort)
 	// Clock measures time.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -74,6 +74,8 @@
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
+	// read is when the list of servers was last read.
+	read time.Time
 	// listed grows whenever an agent is added or removed.
 	listed uint16
 	// emptySince holds when the last usable server of a service was lost.
@@ -209,11 +211,25 @@
 }
 
 // usable reports whether the agent may be offered new flows.
-func (a *Agent) usable(now time.Time) bool {
+func (s *Selection) usable(a *Agent) bool {
 	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving {
 		return false
 	}
-	return a.Missing.IsZero() || now.Sub(a.Missing) < lapseGrace
+	return s.missing(a) < lapseGrace
+}
+
+// missing returns how long the platform has been seen not to list the server of
+// an agent. While the platform cannot be read, nobody can tell.
+func (s *Selection) missing(a *Agent) time.Duration {
+	if a.Missing.IsZero() {
+		return 0
+	}
+	return s.read.Sub(a.Missing)
+}
+
+// Read notes when the list of servers was last read, here or elsewhere.
+func (s *Selection) Read(at time.Time) {
+	s.read = at
 }
 
 // Stale returns the agents to ask for a report: those whose latest is older than
@@ -258,7 +274,7 @@
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
 	s.scored = s.scored[:0]
 	for _, a := range s.byService[service] {
-		if a.usable(now) {
+		if s.usable(a) {
 			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
 		}
 	}
@@ -355,7 +371,7 @@
 	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
 	e.More = end < n
 	e.Partial = e.Partial || e.Page > 0 && e.List != s.listed ||
-		slices.ContainsFunc(s.scored, func(c scored) bool { return c.agent.mayHideFlow(now) })
+		slices.ContainsFunc(s.scored, func(c scored) bool { return s.mayHideFlow(c.agent, now) })
 	e.Complete = !e.More && !e.Partial
 	e.List = s.listed
 	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
@@ -374,8 +390,22 @@
 
 // mayHideFlow reports whether the server of an agent that does not answer may
 // live and hold flows.
-func (a *Agent) mayHideFlow(now time.Time) bool {
-	return a.suspect(now) && (a.Missing.IsZero() || now.Sub(a.Missing) < goneAfter)
+func (s *Selection) mayHideFlow(a *Agent, now time.Time) bool {
+	return a.suspect(now) && s.missing(a) < goneAfter
+}
+
+// AllWarming reports whether every listed server of the services has started so
+// recently that it is still slow, as after a loss of power: flows that it does not
+// know are older than it.
+func (s *Selection) AllWarming(services []string, now time.Time) bool {
+	for _, service := range services {
+		for _, a := range s.byService[service] {
+			if a.Missing.IsZero() && !now.Before(a.warm) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // attemptStep is how far the start of a walk moves with each second attempt.
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -33,6 +33,9 @@
 		revision := uint64(0)
 		var latest steer.Envelope
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd != "outage" {
+				s.Read(now)
+			}
 			switch d.Cmd {
 			case "servers":
 				revision++
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -21,8 +21,16 @@
 	Sum uint64
 	// Leaving is true if the sender is about to stop.
 	Leaving bool
+	// Corroborated is true if the sender knows every server that may live.
+	Corroborated bool
 }
 
+// Flags of a digest.
+const (
+	leavingFlag = 1 << iota
+	corroboratedFlag
+)
+
 const (
 	digestFixedLen = 2 + 8 + 8 + 4 + 8 + 1 + 1
 	// DigestMaxLen is the length of the longest digest, in bytes.
@@ -37,7 +45,7 @@
 	binary.BigEndian.PutUint64(b[10:], f.Revision)
 	binary.BigEndian.PutUint32(b[18:], uint32(min(f.Age.Milliseconds(), 1<<32-1)))
 	binary.BigEndian.PutUint64(b[22:], f.Sum)
-	b[30] = flag(f.Leaving, 1)
+	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag)
 	members = members[:min(len(members), MaxMembers)]
 	b[31] = byte(len(members))
 	for i, m := range members {
@@ -64,6 +72,7 @@
 		Revision:      binary.BigEndian.Uint64(b[10:]),
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
-		Leaving:       b[30]&1 != 0,
+		Leaving:       b[30]&leavingFlag != 0,
+		Corroborated:  b[30]&corroboratedFlag != 0,
 	}, members, true
 }
