--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,6 +32,9 @@
 	Class steer.Class `json:"class"`
 	// Shares is never empty.
 	Shares []Share `json:"shares"`
+
+	// only is the numeric identity of the service if there is one share; else 0.
+	only uint32
 }
 
 // Routes is one version of the routes.
@@ -123,10 +126,15 @@
 		return c
 	}
 	next := *c
+	r.List = slices.Clone(r.List)
 	next.Routes = r
 	next.byAddress = make(map[netip.AddrPort]*Route, len(r.List))
 	for i := range r.List {
-		next.byAddress[r.List[i].Address] = &r.List[i]
+		route := &r.List[i]
+		if len(route.Shares) == 1 {
+			route.only = ServiceID(route.Shares[0].Service)
+		}
+		next.byAddress[route.Address] = route
 	}
 	return &next
 }
@@ -173,6 +181,15 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// SelectID returns the numeric identity of the service that Select returns. hash
+// is called only if there are several shares.
+func (r *Route) SelectID(hash func() uint64) uint32 {
+	if r.only != 0 {
+		return r.only
+	}
+	return ServiceID(r.Select(hash()))
+}
+
 // Services returns the services that may hold a flow with the given hash: first
 // the one that Select returns, then those of the other shares.
 func (r *Route) Services(hash uint64) []string {
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -60,6 +60,7 @@
 		b.cached.Clear()
 		b.address(&b.cached, route)
 		b.cached.Cached = true
+		b.cached.Service = route.SelectID(func() uint64 { return b.selection.Hash(flow) })
 		b.cached.Append(steer.Candidate{Agent: at.agent})
 		b.send(&b.cached, buf)
 		return
@@ -279,6 +280,7 @@
 	}
 	e := b.envelope(route)
 	e.Cached = true
+	e.Service = route.SelectID(func() uint64 { return b.selection.Hash(flow) })
 	e.Append(steer.Candidate{Agent: at.agent})
 	b.send(&e, buf)
 }
