--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -39,11 +39,10 @@
 	// drainedAt is when the platform listed the server as draining; zero if it did not.
 	drainedAt time.Time
 
-	agent      *packetagent.Agent
-	agentEpoch int
-	flows      map[packet.Flow]*serverFlow
-	busy       int
-	waiting    []func()
+	agent   *packetagent.Agent
+	flows   map[packet.Flow]*serverFlow
+	busy    int
+	waiting []func()
 }
 
 // serverFlow is a flow at a server.
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -139,7 +139,8 @@
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
-	e.Partial = e.Partial || !corroborated && !(alone && b.selection.AllWarming(services, now))
+	restarted := alone && b.selection.AllWarming(services, now)
+	e.Partial = e.Partial || !corroborated && !restarted
 	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, now)
 	aside := b.aside
 	b.mu.Unlock()
