Refuse the first copy of a SYN alone

An overloaded agent that got a later copy reset the flow, although the first copy may have opened it at another server. Found by reading; the new test of packetagent fails without the change.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -84,9 +84,15 @@
 		return
 	}
 	if timeout := time.Duration(e.Class.TimeoutMillis) * time.Millisecond; !ready && timeout > 0 && delay >= timeout {
-		a.refuse(flow, p, delay, timeout)
+		a.refuse(e, p, delay, timeout)
 		return
 	}
+	a.admit(e, p, rest, delay, now)
+}
+
+// admit offers a new flow to the server.
+func (a *Agent) admit(e *steer.Envelope, p packet.Packet, rest []byte, delay time.Duration, now time.Time) {
+	flow := p.SentFlow()
 	a.config.Log.Info("flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).
 		Uint32("copy", p.AckSeq).Dur("delay", delay).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Send()
 	entry := a.table.Add(flow, now)
@@ -250,8 +256,15 @@
 	a.send(b[:], e.Balancer)
 }
 
-// refuse resets a new flow that the server could not serve in time.
-func (a *Agent) refuse(flow packet.Flow, p packet.Packet, delay, timeout time.Duration) {
+// refuse resets a new flow that the server could not serve in time. The first
+// copy of a SYN alone is refused: an earlier copy may have opened the flow at
+// another server, whose answer is on its way.
+func (a *Agent) refuse(e *steer.Envelope, p packet.Packet, delay, timeout time.Duration) {
+	flow := p.SentFlow()
+	if p.AckSeq > 0 {
+		a.lost(e, flow)
+		return
+	}
 	a.counts.Refused.Add(1)
 	a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "overload").
 		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
--- /dev/null
+++ b/internal/packetagent/overload_test.go
@@ -0,0 +1,51 @@
+package packetagent
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+	"github.com/bergamotgw/bergamotgw/platform/standin"
+)
+
+// newFlow returns a SYN, or a copy of it, that the agent is to take or refuse.
+func newFlow(n int, number uint32) []byte {
+	e := steer.Envelope{
+		Kind: steer.Forward, Take: true, Balancer: balancer, Best: steer.NoBest,
+		Class: steer.Class{TargetMillis: 100, TimeoutMillis: 1000},
+	}
+	e.Append(steer.Candidate{Agent: relay, Slots: 2})
+	raw := make([]byte, e.Len())
+	e.Put(raw)
+	return append(raw, standin.PutPacket(packet.Packet{
+		SourceIP: [4]byte{100, 64, 0, 1}, SourcePort: uint16(n), Syn: true, Seq: 1, AckSeq: number,
+	})...)
+}
+
+// TestRefusalInOverload checks that a flow that cannot be served in time is
+// refused at once, but no copy of a SYN, whose first may have opened the flow at
+// another server.
+func TestRefusalInOverload(t *testing.T) {
+	a := newBenchAgent()
+	var resets int
+	a.wire.ToFleet = func(_ []byte, to netip.AddrPort) error {
+		if to.Addr() == netip.AddrFrom4([4]byte{100, 64, 0, 1}) {
+			resets++
+		}
+		return nil
+	}
+	a.service.Observe(time.Second, 1, 2)
+	for n := range 10 {
+		a.open(n)
+	}
+	a.FromFleet(newFlow(1000, 1), balancer)
+	if resets != 0 || a.counts.Refused.Load() != 0 {
+		t.Errorf("%d resets of a copy, want none", resets)
+	}
+	a.FromFleet(newFlow(1000, 0), balancer)
+	if resets != 1 || a.counts.Refused.Load() != 1 {
+		t.Errorf("%d resets of the first SYN, want 1", resets)
+	}
+}
--- a/internal/packetbalancer/bench_test.go
+++ b/internal/packetbalancer/bench_test.go
@@ -78,7 +78,7 @@
 
 // hold makes the balancer believe that an agent holds a flow.
 func (b *Balancer) hold(f packet.Flow, agent netip.AddrPort) {
-	b.cache.Put(f, place{agent: agent, confirmed: true})
+	b.cache.Put(f, place{agent: agent})
 }
 
 // BenchmarkForward measures one packet of a known flow: read, route, write.
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -114,7 +114,7 @@
 	b.mu.Unlock()
 	if e.Count == 0 {
 		b.counts.NoServer.Add(1)
-		if hopeless {
+		if hopeless && p.AckSeq == 0 {
 			b.refuse(flow, p, service)
 		}
 		return
@@ -237,7 +237,7 @@
 	b.selection.Heard(from, load, b.config.Clock.Now())
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
-		b.cache.Put(flow, place{agent: from, confirmed: true})
+		b.cache.Put(flow, place{agent: from})
 	}
 }
 
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -95,8 +95,6 @@
 	agent netip.AddrPort
 	// attempts counts searches since the flow was last found.
 	attempts uint8
-	// confirmed is true once the agent reported that it holds the flow.
-	confirmed bool
 }
 
 // Wire sends what a balancer sends. Datagrams may be reused after the call.
