--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -184,20 +185,23 @@
 // newVM returns a running VM with an address of its own.
 func (l *Lab) newVM(zone string) *vm {
 	l.nextIP++
-	v := &vm{ip: netip.AddrFrom4([4]byte{l.network(), 1, byte(l.nextIP >> 8), byte(l.nextIP)}), zone: zone, up: true, disturbed: l.clock.Now()}
+	v := &vm{ip: netip.AddrFrom4(l.address()), zone: zone, up: true, disturbed: l.clock.Now()}
 	l.vms[v.ip] = v
 	return v
 }
 
-// network returns the first number of all addresses: of loopback if processes
-// are real.
-func (l *Lab) network() byte {
+// address returns the next IP address. Real processes get loopback addresses of a
+// network that other runs on the machine hardly use.
+func (l *Lab) address() [4]byte {
 	if l.real != nil {
-		return 127
+		return [4]byte{127, byte(1 + os.Getpid()%loopbackNetworks), byte(l.nextIP >> 8), byte(l.nextIP)}
 	}
-	return 10
+	return [4]byte{10, 1, byte(l.nextIP >> 8), byte(l.nextIP)}
 }
 
+// loopbackNetworks is how many networks of real processes there are.
+const loopbackNetworks = 250
+
 // eventLog returns the log of a process on a VM.
 func (l *Lab) eventLog(v *vm) *eventlog.Log {
 	return eventlog.NewDirectLog(l.Log.With().Str("vm", v.ip.String()).Logger(), l.clock)
