--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -4,15 +4,12 @@
 
 import (
 	"net/netip"
-	"os"
-	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/checkedjson"
 	"github.com/bergamotgw/bergamotgw/internal/fault"
-	"github.com/bergamotgw/bergamotgw/internal/strictjson"
 )
 
 // Common are the settings that every process has.
@@ -81,82 +78,49 @@
 // Checkable is a settings type that can report its own faults.
 type Checkable interface {
 	Balancer | Agent
-	check(c *checker)
+	check(c *checkedjson.Checker)
 }
 
 // Load reads and checks a settings file. The error lists every fault, one on
 // a line.
 func Load[T Checkable](path string) (T, error) {
-	var none T
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return none, merry.Prepend(err, "read settings")
-	}
-	value, faults := Parse[T](raw)
-	if len(faults) == 0 {
-		return value, nil
-	}
-	list := lo.Map(faults, func(f fault.Fault, _ int) string { return path + ": " + f.String() })
-	return none, merry.New(strings.Join(list, "\n"))
+	return checkedjson.Load(path, T.check)
 }
 
 // Parse decodes and checks the text of a settings file.
 func Parse[T Checkable](raw []byte) (T, []fault.Fault) {
-	value, lines, faults := strictjson.Decode[T](raw)
-	if len(faults) > 0 {
-		return value, faults
-	}
-	c := &checker{lines: lines}
-	value.check(c)
-	return value, c.faults
-}
-
-// checker collects the faults of one file.
-type checker struct {
-	lines  strictjson.Lines
-	faults []fault.Fault
-}
-
-func (c *checker) require(ok bool, field, format string, args ...any) {
-	if !ok {
-		c.faults = append(c.faults, c.lines.Fault(field, format, args...))
-	}
-}
-
-func (c *checker) address(a netip.AddrPort, field string) {
-	c.require(a.IsValid(), field, "missing")
-	c.require(!a.IsValid() || a.Addr().Is4() && a.Port() != 0, field, "%s is not an IPv4 address with a port", a)
+	return checkedjson.Parse(raw, T.check)
 }
 
-func (c *checker) common(s Common) {
-	c.require(s.Name != "", "name", "missing")
-	c.require(s.Zone != "", "zone", "missing")
-	c.address(s.Ready, "ready")
-	c.require(s.MaxFlowSeconds > 0, "maxFlowSeconds", "%v, want more than 0", s.MaxFlowSeconds)
-	c.require(s.GraceSeconds > 0, "graceSeconds", "%v, want more than 0", s.GraceSeconds)
-	c.require(lo.Contains([]string{"", "debug", "info", "warn", "error"}, s.LogLevel), "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
+func (s Common) checkCommon(c *checkedjson.Checker) {
+	c.Text(s.Name, "name")
+	c.Text(s.Zone, "zone")
+	c.Address(s.Ready, "ready")
+	c.Require(s.MaxFlowSeconds > 0, "maxFlowSeconds", "%v, want more than 0", s.MaxFlowSeconds)
+	c.Require(s.GraceSeconds > 0, "graceSeconds", "%v, want more than 0", s.GraceSeconds)
+	c.Require(lo.Contains([]string{"", "debug", "info", "warn", "error"}, s.LogLevel), "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
 	if s.Metrics != "" {
 		_, err := netip.ParseAddrPort(s.Metrics)
-		c.require(err == nil, "metrics", "%q is not an address with a port", s.Metrics)
+		c.Require(err == nil, "metrics", "%q is not an address with a port", s.Metrics)
 	}
 }
 
-func (s Balancer) check(c *checker) {
-	c.common(s.Common)
-	c.address(s.Front, "front")
-	c.address(s.Back, "back")
-	c.address(s.Peer, "peer")
-	c.require(s.AgentPort != 0, "agentPort", "missing")
-	c.address(s.Platform, "platform")
+func (s Balancer) check(c *checkedjson.Checker) {
+	s.checkCommon(c)
+	c.Address(s.Front, "front")
+	c.Address(s.Back, "back")
+	c.Address(s.Peer, "peer")
+	c.Require(s.AgentPort != 0, "agentPort", "missing")
+	c.Address(s.Platform, "platform")
 }
 
-func (s Agent) check(c *checker) {
-	c.common(s.Common)
-	c.require(s.Service != "", "service", "missing")
-	c.address(s.Relay, "relay")
-	c.address(s.Outbound, "outbound")
-	c.address(s.Server, "server")
-	c.address(s.Callers, "callers")
+func (s Agent) check(c *checkedjson.Checker) {
+	s.checkCommon(c)
+	c.Text(s.Service, "service")
+	c.Address(s.Relay, "relay")
+	c.Address(s.Outbound, "outbound")
+	c.Address(s.Server, "server")
+	c.Address(s.Callers, "callers")
 }
 
 func seconds(s float64) time.Duration {
--- /dev/null
+++ b/internal/selection/walk.go
@@ -0,0 +1,68 @@
+package selection
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Walk adds a page of the agents of the services that may hold an unknown flow,
+// most likely first. Later attempts start elsewhere, so that an agent that does
+// not answer cannot hide the others. Agents known not to answer are passed over,
+// and appended to aside: each is sent a copy of its own. A search is complete only
+// if its pages come from one list of agents, and none passed over an agent whose
+// server may live, even if that agent has answered since.
+func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, now time.Time) []steer.Candidate {
+	s.scored = s.scored[:0]
+	for _, service := range services {
+		first := len(s.scored)
+		for _, a := range s.byService[service] {
+			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+		}
+		slices.SortStableFunc(s.scored[first:], func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	}
+	n := len(s.scored)
+	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
+	e.More = end < n
+	e.Partial = e.Partial || e.Page > 0 && e.List != s.listed ||
+		slices.ContainsFunc(s.scored, func(c scored) bool { return s.mayHideFlow(c.agent, now) })
+	e.Complete = !e.More && !e.Partial
+	e.List = s.listed
+	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
+		at := (i + int(e.Attempt)/2*attemptStep) % n
+		if e.Attempt%2 == 1 {
+			at = n - 1 - at
+		}
+		if a := s.scored[at].agent; a.suspect(now) {
+			aside = append(aside, candidate(a))
+		} else {
+			e.Append(candidate(a))
+		}
+	}
+	return aside
+}
+
+// mayHideFlow reports whether the server of an agent that does not answer may
+// live and hold flows.
+func (s *Selection) mayHideFlow(a *Agent, now time.Time) bool {
+	return a.suspect(now) && s.missing(a) < goneAfter
+}
+
+// AllWarming reports whether every listed server of the services has started so
+// recently that it is still slow, as after a loss of power: flows that it does not
+// know are older than it.
+func (s *Selection) AllWarming(services []string, now time.Time) bool {
+	for _, service := range services {
+		for _, a := range s.byService[service] {
+			if a.Missing.IsZero() && !now.Before(a.warm) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// attemptStep is how far the start of a walk moves with each second attempt.
+const attemptStep = 3
