Give servers that fail requests fewer new flows

Agents now tell the recent share of failures, seen in the first bytes of answers, and balancers count a failure as two response-time objectives; the share fades within seconds where a server is hardly used, so that it is tried again.

--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -101,6 +101,7 @@
 		Outstanding:       uint16(min(a.outstanding(now), math.MaxUint16)),
 		Flows:             uint16(min(a.active, math.MaxUint16)),
 		RequestsPerSecond: a.rate.perSecond(now),
+		Failures:          a.failures.share(now),
 		Service:           a.service.Mean(),
 	}
 	switch {
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -94,6 +94,7 @@
 	reported   steer.Load
 	reportedAt time.Time
 	rate       rateMeter
+	failures   failureMeter
 	leaving    bool
 	// active counts the flows with recent traffic as of the latest sweep.
 	active int
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -119,6 +119,7 @@
 func (a *Agent) finish(entry *flowtable.Entry, p packet.Packet, now time.Time) {
 	a.counts.Answered.Add(1)
 	status := httphead.Status(p.Data)
+	a.failures.add(status >= failureStatus, now)
 	if status >= failureStatus {
 		a.counts.ServerFailures.Add(1)
 	}
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -54,6 +54,7 @@
 	demand := max(float64(a.Load.RequestsPerSecond), (float64(a.Load.Flows)+float64(a.Placed))*perFlow)
 	utilization := min(demand*service/slots, maxUtilization)
 	delay += service * utilization * utilization / (1 - utilization)
+	delay += failureCost * float64(a.Load.Failures) * float64(class.TargetMillis) / 1000
 	if a.Server.Zone != s.zone {
 		delay += localShare * float64(class.TargetMillis) / 1000
 	}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -23,6 +23,9 @@
 	// localShare is the part of the response-time objective that a place in the
 	// caller's zone may cost.
 	localShare = 0.04
+	// failureCost is what a failure costs, in response-time objectives: the answer is
+	// late after a retry, or lost if the request must not run twice.
+	failureCost = 2
 	// usualService stands for a service time that nobody knows yet.
 	usualService = 20 * time.Millisecond
 	// coldFactor is how much slower a server counts while it warms up.
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -122,7 +122,10 @@
 	d.MaybeScanArgs(t, "flows", &flows)
 	d.MaybeScanArgs(t, "rate", &rate)
 	d.MaybeScanArgs(t, "serviceMillis", &service)
+	failures := 0
+	d.MaybeScanArgs(t, "failures", &failures)
 	l := steer.Load{
+		Failures:    float32(failures) / 100,
 		Outstanding: uint16(outstanding), Flows: uint16(flows), RequestsPerSecond: float32(rate),
 		Service: time.Duration(service) * time.Millisecond,
 	}
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -30,6 +30,8 @@
 	Flows uint16
 	// RequestsPerSecond is the recent rate of requests.
 	RequestsPerSecond float32
+	// Failures is the recent share of answers that tell of a failure, from 0 to 1.
+	Failures float32
 	// Service is the time that a request takes at the server without waiting; 0 if unknown.
 	Service time.Duration
 }
@@ -38,12 +40,13 @@
 const reportLen = 4 + packet.FlowLen + 2 + 2 + 4 + 4
 
 const (
-	reportStateOffset = 2
-	reportFlowOffset  = 4
-	reportOutOffset   = reportFlowOffset + packet.FlowLen
-	reportFlowsOffset = reportOutOffset + 2
-	reportRateOffset  = reportFlowsOffset + 2
-	reportTimeOffset  = reportRateOffset + 4
+	reportStateOffset    = 2
+	reportFailuresOffset = 3
+	reportFlowOffset     = 4
+	reportOutOffset      = reportFlowOffset + packet.FlowLen
+	reportFlowsOffset    = reportOutOffset + 2
+	reportRateOffset     = reportFlowsOffset + 2
+	reportTimeOffset     = reportRateOffset + 4
 )
 
 // ReportLen is the length of a report, in bytes.
@@ -55,7 +58,7 @@
 	b[0] = magic
 	b[kindOffset] = byte(Report)
 	b[reportStateOffset] = byte(l.State)
-	b[reportStateOffset+1] = 0
+	b[reportFailuresOffset] = byte(l.Failures * failuresUnit)
 	f.Put(b[reportFlowOffset:])
 	binary.BigEndian.PutUint16(b[reportOutOffset:], l.Outstanding)
 	binary.BigEndian.PutUint16(b[reportFlowsOffset:], l.Flows)
@@ -63,6 +66,9 @@
 	binary.BigEndian.PutUint32(b[reportTimeOffset:], uint32(l.Service.Microseconds()))
 }
 
+// failuresUnit is the resolution of a share on the wire.
+const failuresUnit = 255
+
 // rateUnit is the resolution of a rate on the wire, in steps for each request a second.
 const rateUnit = 100
 
@@ -76,6 +82,7 @@
 	}
 	return Load{
 		State:             State(b[reportStateOffset]),
+		Failures:          float32(b[reportFailuresOffset]) / failuresUnit,
 		Outstanding:       binary.BigEndian.Uint16(b[reportOutOffset:]),
 		Flows:             binary.BigEndian.Uint16(b[reportFlowsOffset:]),
 		RequestsPerSecond: float32(binary.BigEndian.Uint32(b[reportRateOffset:])) / rateUnit,
