--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -92,7 +92,7 @@
 	return checkedjson.Parse(raw, T.check)
 }
 
-func (s Common) checkCommon(c *checkedjson.Checker) {
+func checkCommon(s Common, c *checkedjson.Checker) {
 	c.Text(s.Name, "name")
 	c.Text(s.Zone, "zone")
 	c.Address(s.Ready, "ready")
@@ -106,7 +106,7 @@
 }
 
 func (s Balancer) check(c *checkedjson.Checker) {
-	s.checkCommon(c)
+	checkCommon(s.Common, c)
 	c.Address(s.Front, "front")
 	c.Address(s.Back, "back")
 	c.Address(s.Peer, "peer")
@@ -115,7 +115,7 @@
 }
 
 func (s Agent) check(c *checkedjson.Checker) {
-	s.checkCommon(c)
+	checkCommon(s.Common, c)
 	c.Text(s.Service, "service")
 	c.Address(s.Relay, "relay")
 	c.Address(s.Outbound, "outbound")
