--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -3,7 +3,6 @@
 package flowtable
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/packet"
@@ -35,12 +34,8 @@
 	State State
 	// Class describes its requests.
 	Class steer.Class
-	// Balancer delivered the caller's latest packet; unset if none did yet.
-	Balancer netip.AddrPort
 	// Seen is when either end last sent a packet.
 	Seen time.Time
-	// Delivered is when the SYN, or the request that runs, went to the server.
-	Delivered time.Time
 	// Opened is when the caller sent its first SYN, as far as its copies tell; zero
 	// if the flow was opened before this process started.
 	Opened time.Time
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -116,8 +116,6 @@
 }
 
 func (a *Agent) deliverSyn(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
-	entry.Balancer = e.Balancer
-	entry.Delivered = now
 	entry.Sent(p, now)
 	a.report(e.Balancer, entry.Flow, now)
 	a.deliver(e, p, rest, now)
@@ -212,7 +210,6 @@
 
 // found tells a balancer that searched for a flow where it is.
 func (a *Agent) found(e *steer.Envelope, entry *flowtable.Entry, now time.Time) {
-	entry.Balancer = e.Balancer
 	entry.Class = e.Class
 	if !e.Cached {
 		a.config.Log.Info("flowFound").Stringer("flow", entry.Flow).Uint8("hop", e.Hop).Send()
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -78,7 +78,7 @@
 		return
 	}
 	delete(a.asked, entry.Flow)
-	entry.Balancer, entry.Class = q.balancer, q.class
+	entry.Class = q.class
 	a.config.Log.Info("flowLearnt").Stringer("flow", entry.Flow).Send()
 	a.report(q.balancer, entry.Flow, now)
 }
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -102,7 +102,7 @@
 }
 
 func (a *Agent) run(entry *flowtable.Entry, sent, now time.Time) {
-	entry.Running, entry.Delivered = true, now
+	entry.Running = true
 	a.running[entry.Flow] = running{sent: sent, delivered: now, concurrent: len(a.running) + 1}
 }
 
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -103,12 +103,10 @@
 		e.Cached = true
 	}
 	b.selection.Choices(&e, hash, service, now)
-	if e.Count > 0 {
-		b.selection.Placed(e.Candidates[0].Agent, now)
-	}
 	var first selection.Agent
 	if e.Count > 0 {
 		first = b.selection.Agent(e.Candidates[0].Agent)
+		b.selection.Placed(first.Address, now)
 	}
 	hopeless := e.Count == 0 && b.selection.Hopeless(service, now)
 	b.mu.Unlock()
