--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -93,6 +93,10 @@
 	flow := p.SentFlow()
 	delete(a.asked, flow)
 	if entry := a.table.Get(flow); entry != nil {
+		if p.Syn && entry.State != flowtable.Opening {
+			// A late copy of the SYN: the server's answer to the first stands.
+			return
+		}
 		held := entry.State == flowtable.Open && entry.Holds(p)
 		a.cancel(entry)
 		a.table.Remove(flow)
--- a/internal/packetagent/overload_test.go
+++ b/internal/packetagent/overload_test.go
@@ -49,3 +49,16 @@
 		t.Errorf("%d resets of the first SYN, want 1", resets)
 	}
 }
+
+// TestBouncedCopy checks that a server that bounces a late copy of a SYN does not
+// lose the flow that the first copy opened.
+func TestBouncedCopy(t *testing.T) {
+	a := newBenchAgent()
+	a.open(1)
+	a.FromServer(standin.PutPacket(packet.Packet{
+		SourceIP: [4]byte{100, 64, 0, 0}, SourcePort: 1, Syn: true, Bounced: true, Seq: 1, AckSeq: 1,
+	}))
+	if a.Flows() != 1 {
+		t.Errorf("%d flows, want 1", a.Flows())
+	}
+}
