--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -23,6 +23,13 @@
 		}
 		slices.SortStableFunc(s.scored[first:], func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	}
+	if fansOut(e.Attempt) {
+		for _, c := range s.scored {
+			aside = append(aside, candidate(c.agent))
+		}
+		e.Partial = true
+		return aside
+	}
 	n := len(s.scored)
 	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
 	e.More = end < n
@@ -64,5 +71,13 @@
 	return true
 }
 
+// fansOut reports whether an attempt sends a copy to every agent instead of one
+// along all of them: where links lose packets, two searches along many agents may
+// both break, and three packets that miss their server within two seconds would
+// break the flow.
+func fansOut(attempt uint8) bool {
+	return attempt >= 2 && attempt%2 == 0
+}
+
 // attemptStep is how far the start of a walk moves with each second attempt.
 const attemptStep = 3
