--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -1,10 +1,8 @@
 package directory
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -91,9 +89,7 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, heard time.Time) bool { return now.Sub(heard) < memberTimeout }))
-	slices.SortFunc(list, func(a, b netip.AddrPort) int { return cmp.Or(a.Compare(b)) })
-	return list
+	return lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, heard time.Time) bool { return now.Sub(heard) < memberTimeout }))
 }
 
 func (d *Directory) readDone(err error) {
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -130,11 +130,10 @@
 	if l.Outstanding == a.reported.Outstanding && l.State == a.reported.State {
 		return
 	}
-	a.reportAll(now)
+	a.reportAll(l, now)
 }
 
-func (a *Agent) reportAll(now time.Time) {
-	l := a.load(now)
+func (a *Agent) reportAll(l steer.Load, now time.Time) {
 	a.reported, a.reportedAt = l, now
 	var b [steer.ReportLen]byte
 	steer.PutReport(b[:], l, packet.Flow{})
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -197,7 +197,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.leaving = true
-	a.reportAll(a.config.Clock.Now())
+	now := a.config.Clock.Now()
+	a.reportAll(a.load(now), now)
 }
 
 // Busy returns the number of requests that wait or run.
