Note an answer although the end of its flow overtook it

Cause: a server sends its only answer and its FIN at one moment, and the two packets change places on the way to the agent. The FIN moved the server's next sequence number beyond the answer, so the answer was never noted: the request held its slot until the caller had closed the flow, a round trip longer, its service time was not measured, and its status was not seen. Ruled out: requests stuck at the server, slots kept by cancelled requests.

--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -55,6 +55,9 @@
 	// valid if known.
 	serverNext, callerNext           uint32
 	serverNextKnown, callerNextKnown bool
+	// dataNext is the sequence number behind the data that the server has sent, valid
+	// with serverNext. Packets without data do not move it: they may overtake an answer.
+	dataNext uint32
 	serverFin, callerFin             bool
 	// answeredAt is when the server answered the SYN.
 	answeredAt time.Time
@@ -175,8 +178,12 @@
 // the first bytes of an answer to the request that runs.
 func (e *Entry) Answered(p packet.Packet, now time.Time) (answer bool) {
 	e.Seen = now
-	if next := p.NextSeq(); !e.serverNextKnown || packet.SeqAfter(next, e.serverNext) {
+	next := p.NextSeq()
+	if !e.serverNextKnown || len(p.Data) > 0 && packet.SeqAfter(next, e.dataNext) {
 		answer = e.Running && len(p.Data) > 0
+		e.dataNext = next
+	}
+	if !e.serverNextKnown || packet.SeqAfter(next, e.serverNext) {
 		e.serverNext, e.serverNextKnown = next, true
 	}
 	if e.State == Opening {
