Leave late requests out of the load of an agent

Cause: after a loss of power up to 80 requests wait at an agent that are late already. They go after every timely one, but counted as its load, so new flows went in bursts to whichever server had the shortest backlog: at one moment 12 timely requests waited at one server while another worked on requests a second old. New flows were also refused for a backlog that would not have delayed them. Ruled out: slots that stay empty (three requests at each server throughout).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,18 @@
 	return len(q.list)
 }
 
+// Timely returns the number of requests held that can still be answered within
+// their response-time objective. Only they go before a request that arrives now.
+func (q *Queue) Timely(now time.Time, s Server) int {
+	n := 0
+	for _, r := range q.list {
+		if r.inTime(now.Add(s.Service)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Server is what the order of requests depends on.
 type Server struct {
 	// Service is the time that the server takes for a request.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,9 +12,9 @@
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
-// TestOrder plays a queue. push adds a request that was sent some time ago, at
-// prints the order in which waiting requests go to the server, and expired those
-// that can no longer be served.
+// TestOrder plays a queue. push adds a request that was sent some time ago, order
+// prints the order in which waiting requests go to the server, timely how many of
+// them go before a further one, and expired those that can no longer be served.
 func TestOrder(t *testing.T) {
 	start := time.Unix(1000, 0)
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -29,15 +29,14 @@
 				q.Push(r, packet.Packet{Seq: 1}, nil)
 				return ""
 			case "order":
-				service, slots := 20, 2
-				d.MaybeScanArgs(t, "serviceMillis", &service)
-				d.MaybeScanArgs(t, "slots", &slots)
-				s := Server{Service: time.Duration(service) * time.Millisecond, Slots: slots}
+				s := server(t, d)
 				var out []string
 				for r := q.Next(start, s); r != nil; r = q.Next(start, s) {
 					out = append(out, ids[r.Flow.CallerPort])
 				}
 				return strings.Join(out, " ")
+			case "timely":
+				return fmt.Sprintf("%d of %d", q.Timely(start, server(t, d)), q.Len())
 			case "expired":
 				var out []string
 				for r := q.Expired(start, 20*time.Millisecond); r != nil; r = q.Expired(start, 20*time.Millisecond) {
@@ -52,6 +51,14 @@
 	})
 }
 
+// server reads a server: serviceMillis=N, slots=N.
+func server(t *testing.T, d *datadriven.TestData) Server {
+	service, slots := 20, 2
+	d.MaybeScanArgs(t, "serviceMillis", &service)
+	d.MaybeScanArgs(t, "slots", &slots)
+	return Server{Service: time.Duration(service) * time.Millisecond, Slots: slots}
+}
+
 // request reads a request: age=MILLIS, priority=N, target=MILLIS, timeout=MILLIS.
 func request(t *testing.T, d *datadriven.TestData, now time.Time) *Request {
 	age, priority, target, timeout := 0, 2, 100, 1500
--- a/internal/packetagent/overload_test.go
+++ b/internal/packetagent/overload_test.go
@@ -62,3 +62,39 @@
 		t.Errorf("%d flows, want 1", a.Flows())
 	}
 }
+
+// sendRequest makes the caller of the nth flow, which is open, send a request with
+// a response-time objective of 100 ms.
+func (a *Agent) sendRequest(n int) {
+	p := packet.Packet{Ack: true, Seq: 2, AckSeq: 501, Data: []byte("GET / HTTP/1.1\r\n\r\n")}
+	p.SourceIP, p.SourcePort = [4]byte{100, 64, byte(n >> 24), byte(n >> 16)}, uint16(n)
+	e := steer.Envelope{
+		Kind: steer.Forward, Cached: true, Balancer: balancer, Best: steer.NoBest,
+		Class: steer.Class{TargetMillis: 100, TimeoutMillis: 1000},
+	}
+	e.Append(steer.Candidate{Agent: relay, Slots: 2})
+	raw := make([]byte, e.Len())
+	e.Put(raw)
+	a.FromFleet(append(raw, standin.PutPacket(p)...), balancer)
+}
+
+// TestLateBacklogAfterPowerLoss checks that requests which are late already, and
+// wait for a time without timely work, do not count as load of an agent: they
+// would draw new flows to other servers, and have them refused here.
+func TestLateBacklogAfterPowerLoss(t *testing.T) {
+	a := newBenchAgent()
+	a.service.Observe(30*time.Millisecond, 1, 2)
+	const requests = 40
+	for n := range requests {
+		a.open(n)
+		a.sendRequest(n)
+	}
+	running := a.slotCount() + ahead
+	if got := int(a.Load().Outstanding); got != requests {
+		t.Errorf("%d requests outstanding at first, want all %d", got, requests)
+	}
+	time.Sleep(expectedFor)
+	if got := int(a.Load().Outstanding); got != running {
+		t.Errorf("%d requests outstanding when the others are late, want the %d that run", got, running)
+	}
+}
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -36,14 +36,20 @@
 	return a.slots
 }
 
-// outstanding counts the requests that are expected, wait or run.
+// server returns what the order of held requests depends on.
+func (a *Agent) server() dispatch.Server {
+	return dispatch.Server{Service: a.service.Mean(), Slots: a.slotCount()}
+}
+
+// outstanding counts the requests that go before one that arrives now: those that
+// are expected, those that run, and those held that can still be answered in time.
 func (a *Agent) outstanding(now time.Time) int {
 	for f, at := range a.expected {
 		if now.Sub(at) > expectedFor {
 			delete(a.expected, f)
 		}
 	}
-	return len(a.expected) + a.queue.Len() + len(a.running)
+	return len(a.expected) + a.queue.Timely(now, a.server()) + len(a.running)
 }
 
 // delay returns the expected wait of a further request, and whether a new flow
@@ -158,7 +164,7 @@
 // fill gives the server requests that wait, while it has room.
 func (a *Agent) fill(now time.Time) {
 	for len(a.running) < a.slotCount()+ahead {
-		r := a.queue.Next(now, dispatch.Server{Service: a.service.Mean(), Slots: a.slotCount()})
+		r := a.queue.Next(now, a.server())
 		if r == nil {
 			return
 		}
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -24,7 +24,8 @@
 type Load struct {
 	// State tells whether the agent takes new flows.
 	State State
-	// Outstanding counts requests that are expected, wait or run.
+	// Outstanding counts requests that are expected, run, or wait and can still be
+	// answered in time: those that go before a further one.
 	Outstanding uint16
 	// Flows counts open flows with traffic in the last seconds.
 	Flows uint16
