Read the servers again soon after a start that nobody else saw

Cause: a balancer reads the platform when it starts and every 0.7 s after. After a loss of power the first reading still lists the servers as they were, so for 0.3 to 0.6 s longer no search could tell that a flow was gone, and callers waited for their next retransmission. Ruled out: the wait of 300 ms for the balancers named in the settings, which ends before.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -247,3 +247,23 @@
 		t.Errorf("routes %d and %d servers, want 5 and 2", c.Routes.Version, len(c.Servers.List))
 	}
 }
+
+// TestServersReturnAfterPowerLoss checks that a balancer which nobody can tell
+// what lapsed sees soon that the servers listed at its start have restarted.
+func TestServersReturnAfterPowerLoss(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 1, "a")
+	d := f.start(2)
+	await(t, d, 1, 1, changeBound)
+	const registered = 250 * time.Millisecond
+	time.Sleep(registered)
+	f.store.publish(1, 2, "b")
+	await(t, d, 1, 2, readInterval/2)
+	time.Sleep(readInterval)
+	f.store.mu.Lock()
+	calls := f.store.calls
+	f.store.mu.Unlock()
+	if most := 2*3 + int(readInterval/startReadInterval); calls > most {
+		t.Errorf("%d calls in two intervals after the start, want at most %d", calls, most)
+	}
+}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -14,6 +14,11 @@
 	// with the exchange and one lost reader it stays well within the 3 s in which
 	// a draining server must lose its new flows.
 	readInterval = 700 * time.Millisecond
+	// startReadInterval is the age at which a balancer that has just started, and does
+	// not know what lapsed, reads the servers again: after a loss of power servers
+	// register within some hundred milliseconds, and until all have done so, no
+	// search can tell that a flow is gone.
+	startReadInterval = 150 * time.Millisecond
 	// rankStep is how much later each next balancer reads, if the ones before did
 	// not; longer than an exchange takes.
 	rankStep = 400 * time.Millisecond
@@ -44,13 +49,16 @@
 }
 
 func (d *Directory) read(ctx context.Context) error {
-	asked := d.config.Clock.Now()
-	d.counts.Reads.Add(2)
-	routes, err := d.config.Source.Routes(ctx)
-	if err != nil {
-		return err
+	if !d.starting() {
+		d.counts.Reads.Add(1)
+		routes, err := d.config.Source.Routes(ctx)
+		if err != nil {
+			return err
+		}
+		d.takeRoutes(routes, "platform")
 	}
-	d.takeRoutes(routes, "platform")
+	d.counts.Reads.Add(1)
+	asked := d.config.Clock.Now()
 	servers, faults, err := d.config.Source.Servers(ctx)
 	if err != nil {
 		return err
@@ -70,10 +78,26 @@
 	if d.readAt.IsZero() {
 		return 0
 	}
-	due := d.readAt.Add(readInterval + time.Duration(rank)*rankStep)
+	interval := readInterval
+	if d.justStarted() {
+		interval = startReadInterval
+	}
+	due := d.readAt.Add(interval + time.Duration(rank)*rankStep)
 	return due.Sub(d.config.Clock.Now())
 }
 
+// starting reports whether this balancer has read the platform for the first time
+// less than an interval ago, and no other has told it what lapsed.
+func (d *Directory) starting() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.justStarted()
+}
+
+func (d *Directory) justStarted() bool {
+	return !d.firstReadAt.IsZero() && !d.told && d.config.Clock.Since(d.firstReadAt) < readInterval
+}
+
 // rank returns the place of this balancer in the order of readers.
 func (d *Directory) rank() int {
 	return lo.CountBy(d.live(), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
