--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -137,7 +137,7 @@
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
-	restarted := alone && b.selection.AllWarming(services, now)
+	restarted := alone && b.selection.AllFresh(services)
 	e.Partial = e.Partial || !corroborated && !restarted
 	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, now)
 	aside := b.aside
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -63,6 +63,8 @@
 
 	hash uint64
 	warm time.Time
+	// fresh is whether the server was still slow from its start when first listed.
+	fresh bool
 	// wasSuspect is what Turned last returned.
 	wasSuspect bool
 }
@@ -154,7 +156,7 @@
 func (s *Selection) list(address netip.AddrPort, v catalog.Server, now time.Time) {
 	a := s.agents[address]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String()))}
+		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String())), fresh: v.Warmup > 0}
 		s.agents[address] = a
 		s.listed++
 	}
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -24,7 +24,7 @@
 
 // TestSelection plays what a balancer learns and prints what it selects.
 // "servers" takes a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
-// [service=S]" on a line; server N has the address 10.0.0.N.
+// [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N.
 func TestSelection(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
@@ -58,6 +58,8 @@
 				return spread(t, d, s, now)
 			case "walk":
 				return walk(t, d, s, &latest, now)
+			case "allFresh":
+				return strconv.FormatBool(s.AllFresh([]string{"pass"}))
 			case "hopeless":
 				var e steer.Envelope
 				s.Choices(&e, 1, "pass", now)
@@ -100,6 +102,8 @@
 			case "slots":
 				n, _ := strconv.Atoi(value)
 				v.Slots = uint8(n)
+			case "warmup":
+				v.Warmup, _ = time.ParseDuration(value)
 			case "draining":
 				v.State = catalog.Draining
 			case "service":
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -57,13 +57,13 @@
 	return a.suspect(now) && s.missing(a) < goneAfter
 }
 
-// AllWarming reports whether every listed server of the services has started so
-// recently that it is still slow, as after a loss of power: flows that it does not
+// AllFresh reports whether every listed server of the services had just started
+// when it was first listed here, as after a loss of power: flows that it does not
 // know are older than it.
-func (s *Selection) AllWarming(services []string, now time.Time) bool {
+func (s *Selection) AllFresh(services []string) bool {
 	for _, service := range services {
 		for _, a := range s.byService[service] {
-			if a.Missing.IsZero() && !now.Before(a.warm) {
+			if a.Missing.IsZero() && !a.fresh {
 				return false
 			}
 		}
