--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -57,8 +57,8 @@
 	serverNextKnown, callerNextKnown bool
 	// dataNext is the sequence number behind the data that the server has sent, valid
 	// with serverNext. Packets without data do not move it: they may overtake an answer.
-	dataNext uint32
-	serverFin, callerFin             bool
+	dataNext             uint32
+	serverFin, callerFin bool
 	// answeredAt is when the server answered the SYN.
 	answeredAt time.Time
 }
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -128,7 +128,7 @@
 		config:    c,
 		wire:      w,
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
-		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow),
+		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Clock.Now()),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 	}
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -40,6 +40,10 @@
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
+	// startSpread is how much earlier than this balancer a server may have started if
+	// both lost power together: VMs start within 0.3 s of each other, and their clocks
+	// differ a little.
+	startSpread = time.Second
 	// maxUtilization bounds the queueing term of the score.
 	maxUtilization = 0.97
 )
@@ -63,7 +67,8 @@
 
 	hash uint64
 	warm time.Time
-	// fresh is whether the server was still slow from its start when first listed.
+	// fresh is whether the server had just started when first listed: it was still
+	// slow, or has started with this balancer.
 	fresh bool
 	// wasSuspect is what Turned last returned.
 	wasSuspect bool
@@ -71,10 +76,11 @@
 
 // Selection keeps the agents of all services. It is not safe for concurrent use.
 type Selection struct {
-	zone   string
-	port   uint16
-	retain time.Duration
-	ranker rendezvous.Ranker
+	zone    string
+	port    uint16
+	retain  time.Duration
+	started time.Time
+	ranker  rendezvous.Ranker
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
@@ -94,13 +100,14 @@
 
 // NewSelection returns an empty selection for a balancer in a zone. Agents
 // listen at the given port, and are remembered for the retention period after
-// their server was last listed.
-func NewSelection(zone string, agentPort uint16, retain time.Duration) *Selection {
+// their server was last listed. started is when the balancer started.
+func NewSelection(zone string, agentPort uint16, retain time.Duration, started time.Time) *Selection {
 	return &Selection{
 		emptySince: make(map[string]time.Time),
 		zone:       zone,
 		port:       agentPort,
 		retain:     retain,
+		started:    started,
 		ranker:     rendezvous.NewRanker(nil),
 		agents:     make(map[netip.AddrPort]*Agent),
 		byService:  make(map[string][]*Agent),
@@ -156,7 +163,7 @@
 func (s *Selection) list(address netip.AddrPort, v catalog.Server, now time.Time) {
 	a := s.agents[address]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String())), fresh: v.Warmup > 0}
+		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String())), fresh: s.justStarted(v)}
 		s.agents[address] = a
 		s.listed++
 	}
@@ -164,6 +171,12 @@
 	a.warm = now.Add(v.Warmup)
 }
 
+// justStarted reports whether a server that is listed for the first time has
+// started lately, or together with this balancer.
+func (s *Selection) justStarted(v catalog.Server) bool {
+	return v.Warmup > 0 || v.Born >= s.started.Add(-startSpread).UnixMilli()
+}
+
 func (s *Selection) group() {
 	clear(s.byService)
 	for _, a := range s.agents {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -29,7 +29,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
 		now := start
-		s := NewSelection("a", testPort, testRetain)
+		s := NewSelection("a", testPort, testRetain, start)
 		revision := uint64(0)
 		var latest steer.Envelope
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
