Search zone by zone, likely agents first

Cause: a search passed along agents in the order of their rank, so that three of four hops crossed between zones with the whole packet. After a loss of power, when thousands of flows are searched, that was most of the bytes between zones.

--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -21,7 +21,7 @@
 		for _, a := range s.byService[service] {
 			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
 		}
-		slices.SortStableFunc(s.scored[first:], func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		s.orderWalk(s.scored[first:])
 	}
 	if fansOut(e.Attempt) {
 		for _, c := range s.scored {
@@ -51,6 +51,30 @@
 	return aside
 }
 
+// orderWalk sorts the agents of a service: first those that a flow of this hash is
+// offered to, then the others, each part zone by zone.
+func (s *Selection) orderWalk(list []scored) {
+	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	likely := min(len(list), ranked)
+	slices.SortStableFunc(list[:likely], s.compareZones)
+	slices.SortStableFunc(list[likely:], s.compareZones)
+}
+
+// compareZones puts the balancer's own zone first.
+func (s *Selection) compareZones(a, b scored) int {
+	x, y := a.agent.Server.Zone, b.agent.Server.Zone
+	switch {
+	case x == y:
+		return 0
+	case x == s.zone:
+		return -1
+	case y == s.zone:
+		return 1
+	default:
+		return cmp.Compare(x, y)
+	}
+}
+
 // mayHideFlow reports whether the server of an agent that does not answer may
 // live and hold flows.
 func (s *Selection) mayHideFlow(a *Agent, now time.Time) bool {
