Ask agents that did not hold a flow only once

Cause: after a loss of power searches end without proof until the list of servers is known to be whole and silent agents count as gone.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -140,7 +140,7 @@
 		return false
 	}
 	if e.Take || e.Best == steer.NoBest {
-		a.lost(e, flow)
+		a.lost(e, flow, false)
 		return false
 	}
 	e.Take, e.Hop = true, e.Best
@@ -229,7 +229,7 @@
 		a.returnPacket(e, flow, raw, rest)
 		return
 	}
-	a.lost(e, flow)
+	a.lost(e, flow, !e.Aside)
 	if e.Complete && !p.Reset {
 		a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
 			Uint8("page", e.Page).Uint8("agentsAsked", e.Count).Send()
@@ -245,11 +245,12 @@
 	a.transmit(e, raw, rest, e.Balancer)
 }
 
-// lost tells the balancer that nobody takes or holds a flow.
-func (a *Agent) lost(e *steer.Envelope, flow packet.Flow) {
+// lost tells the balancer that nobody takes or holds a flow. searched tells that
+// this ends a search.
+func (a *Agent) lost(e *steer.Envelope, flow packet.Flow, searched bool) {
 	a.counts.Lost.Add(1)
 	var b [steer.LostLen]byte
-	steer.PutLost(b[:], flow, e.Complete)
+	steer.LostNotice{Flow: flow, Complete: e.Complete, Searched: searched, Attempt: e.Attempt, List: e.List}.Put(b[:])
 	a.send(b[:], e.Balancer)
 }
 
@@ -259,7 +260,7 @@
 func (a *Agent) refuse(e *steer.Envelope, p packet.Packet, delay, timeout time.Duration) {
 	flow := p.SentFlow()
 	if p.AckSeq > 0 {
-		a.lost(e, flow)
+		a.lost(e, flow, false)
 		return
 	}
 	a.counts.Refused.Add(1)
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -113,7 +113,7 @@
 	case !p.Syn:
 		a.notHeld(&e, p, nil, raw)
 	case a.passSyn(&e, flow, nil, raw):
-		a.lost(&e, flow)
+		a.lost(&e, flow, false)
 	}
 }
 
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -95,6 +95,13 @@
 	agent netip.AddrPort
 	// attempts counts searches since the flow was last found.
 	attempts uint8
+	// searched is when the latest search began, in the list of agents named by list;
+	// zero if there was none.
+	searched time.Time
+	list     uint16
+	// notHeld is true if that search has ended: no agent held the flow but those
+	// that did not answer.
+	notHeld bool
 }
 
 // Wire sends what a balancer sends. Datagrams may be reused after the call.
--- /dev/null
+++ b/internal/packetbalancer/search_test.go
@@ -0,0 +1,59 @@
+package packetbalancer
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// TestSearchAfterPowerLoss checks that a flow which no agent holds is searched
+// once: until the list of servers is known to be whole, its packets go nowhere,
+// and then its caller is told at once.
+func TestSearchAfterPowerLoss(t *testing.T) {
+	x, _, agent := newBenchBalancer(t, 3)
+	whole := false
+	x.config.Corroborated = func() bool { return whole }
+	var searches []steer.Envelope
+	resets := 0
+	x.wire.ToFleet = func(raw []byte, _ netip.AddrPort) error {
+		var e steer.Envelope
+		if _, ok := e.Parse(raw); !ok {
+			t.Fatalf("datagram %x to the fleet, want a packet", raw)
+		}
+		searches = append(searches, e)
+		return nil
+	}
+	x.wire.ToCaller = func([]byte, netip.AddrPort) error { resets++; return nil }
+	f, raw := flowPacket(1, 200)
+	x.FromCaller(raw)
+	if len(searches) != 1 || searches[0].Count != 3 || searches[0].Complete {
+		t.Fatalf("%d searches, want one that is not complete: %+v", len(searches), searches)
+	}
+
+	x.FromCaller(raw)
+	if len(searches) != 2 {
+		t.Fatalf("%d searches before the first has ended, want 2", len(searches))
+	}
+	lost := make([]byte, steer.LostLen)
+	e := searches[1]
+	steer.LostNotice{Flow: f, Searched: true, Attempt: e.Attempt, List: e.List}.Put(lost)
+	x.handleLost(lost)
+	x.FromCaller(raw)
+	if len(searches) != 2 || resets != 0 {
+		t.Errorf("%d searches and %d resets after the flow was not found, want 2 and none", len(searches), resets)
+	}
+
+	whole = true
+	x.FromCaller(raw)
+	if len(searches) != 2 || resets != 1 {
+		t.Errorf("%d searches and %d resets when no other server may live, want 2 and 1", len(searches), resets)
+	}
+
+	x.hold(f, agent)
+	x.handleLost(lost)
+	x.FromCaller(raw)
+	if resets != 1 || x.Counts().Cached.Load() != 1 {
+		t.Errorf("%d resets of a flow that was found since, want none but the first", resets)
+	}
+}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -60,6 +60,8 @@
 	Heard time.Time
 	// Asked is when the first message since the latest report was sent.
 	Asked time.Time
+	// Returned is when it last answered after it had been silent.
+	Returned time.Time
 	// Placed counts the flows placed since the latest report.
 	Placed int
 	// Missing is when the server was first missing from the list; zero if listed.
@@ -190,6 +192,9 @@
 // Heard takes a report. Reports of unknown agents are ignored.
 func (s *Selection) Heard(address netip.AddrPort, l steer.Load, now time.Time) {
 	if a := s.agents[address]; a != nil {
+		if a.suspect(now) {
+			a.Returned = now
+		}
 		a.Load, a.Heard, a.Asked, a.Placed = l, now, time.Time{}, 0
 	}
 }
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -163,14 +163,22 @@
 
 // walk prints a page of a search; further pages belong to the latest search.
 func walk(t *testing.T, d *datadriven.TestData, s *Selection, latest *steer.Envelope, now time.Time) string {
-	attempt, page := 0, 0
+	attempt, page, before := 0, 0, ""
+	var asked time.Time
 	d.MaybeScanArgs(t, "attempt", &attempt)
+	if d.MaybeScanArgs(t, "asked", &before); before != "" {
+		ago, err := time.ParseDuration(before)
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked = now.Add(-ago)
+	}
 	d.MaybeScanArgs(t, "page", &page)
 	e := steer.Envelope{Attempt: uint8(attempt), Page: uint8(page)}
-	if page > 0 {
-		e.List, e.Partial = latest.List, latest.Partial
+	if page > 0 || !asked.IsZero() {
+		e.List, e.Partial = latest.List, page > 0 && latest.Partial
 	}
-	aside := s.Walk(&e, nil, s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, now)
+	aside := s.Walk(&e, nil, s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, s.AskedSince(asked, e.List, []string{"pass"}, now), now)
 	*latest = e
 	list := lo.Map(e.Candidates[:e.Count], func(c steer.Candidate, _ int) string { return number(c) })
 	out := fmt.Sprintf("agents %s", strings.Join(list, " "))
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -13,17 +15,21 @@
 // not answer cannot hide the others. Agents known not to answer are passed over,
 // and appended to aside: each is sent a copy of its own. A search is complete only
 // if its pages come from one list of agents, and none passed over an agent whose
-// server may live, even if that agent has answered since.
-func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, now time.Time) []steer.Candidate {
+// server may live, even if that agent has answered since. Agents that were asked in
+// an earlier search, which began at asked, are left out; asked is as AskedSince
+// returns it.
+func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, asked, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
 	for _, service := range services {
 		first := len(s.scored)
 		for _, a := range s.byService[service] {
-			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+			if asked.IsZero() || a.unasked(asked, now) {
+				s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+			}
 		}
 		s.orderWalk(s.scored[first:])
 	}
-	if fansOut(e.Attempt) {
+	if fansOut(e.Attempt) && len(s.scored) > 0 {
 		for _, c := range s.scored {
 			aside = append(aside, candidate(c.agent))
 		}
@@ -51,6 +57,28 @@
 	return aside
 }
 
+// AskedSince returns when the search began after which only agents that did not
+// answer then need to be asked, or zero if all need to be: there was no search, the
+// list of agents is no longer the same, or too many did not answer.
+func (s *Selection) AskedSince(asked time.Time, list uint16, services []string, now time.Time) time.Time {
+	if asked.IsZero() || list != s.listed {
+		return time.Time{}
+	}
+	unasked := 0
+	for _, service := range services {
+		unasked += lo.CountBy(s.byService[service], func(a *Agent) bool { return a.unasked(asked, now) })
+	}
+	if unasked > steer.MaxCandidates {
+		return time.Time{}
+	}
+	return asked
+}
+
+// unasked reports whether the agent did not answer when a search began.
+func (a *Agent) unasked(began, now time.Time) bool {
+	return a.suspect(now) || a.Returned.After(began)
+}
+
 // orderWalk sorts the agents of a service: first those that a flow of this hash is
 // offered to, then the others, each part zone by zone.
 func (s *Selection) orderWalk(list []scored) {
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -98,19 +98,3 @@
 func PutPing(b []byte) {
 	b[0], b[kindOffset] = magic, byte(Ping)
 }
-
-// PutLost writes a notice that no agent holds the flow into b, which holds at
-// least LostLen bytes. complete tells that every agent of the service was asked.
-func PutLost(b []byte, f packet.Flow, complete bool) {
-	b[0], b[kindOffset] = magic, byte(Lost)
-	b[flagsOffset] = flag(complete, completeFlag)
-	f.Put(b[3:])
-}
-
-// ParseLost decodes a notice that PutLost wrote.
-func ParseLost(b []byte) (f packet.Flow, complete, ok bool) {
-	if kind, is := KindOf(b); !is || kind != Lost || len(b) < LostLen {
-		return packet.Flow{}, false, false
-	}
-	return packet.ParseFlow(b[3:]), b[flagsOffset]&completeFlag != 0, true
-}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -5,8 +5,6 @@
 import (
 	"encoding/binary"
 	"net/netip"
-
-	"github.com/bergamotgw/bergamotgw/internal/packet"
 )
 
 // magic is the first byte of every datagram.
@@ -71,6 +69,7 @@
 	onceFlag
 	moreFlag
 	partialFlag
+	asideFlag
 )
 
 // Candidate is an agent that may hold or take a flow.
@@ -108,6 +107,8 @@
 	// Partial is true if this page or one before passed over an agent whose server
 	// may hold the flow.
 	Partial bool
+	// Aside is true for a copy to one agent beside a search along the others.
+	Aside bool
 	// More is true if there is a further page of candidates.
 	More bool
 	// Page numbers the pages of a search, from 0.
@@ -145,7 +146,7 @@
 // as it is, which is cheaper than a new envelope.
 func (e *Envelope) Clear() {
 	clear(e.Candidates[:e.Count])
-	e.Kind, e.Cached, e.Complete, e.Partial, e.More, e.Take = 0, false, false, false, false, false
+	e.Kind, e.Cached, e.Complete, e.Partial, e.Aside, e.More, e.Take = 0, false, false, false, false, false, false
 	e.Page, e.Attempt, e.List, e.Hop, e.Count = 0, 0, 0, 0, 0
 	e.Class, e.Service, e.Balancer, e.Best, e.BestDelayMillis = Class{}, 0, netip.AddrPort{}, 0, 0
 }
@@ -168,7 +169,7 @@
 	b[0] = magic
 	b[kindOffset] = byte(e.Kind)
 	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.Take, takeFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag) |
-		flag(e.Partial, partialFlag)
+		flag(e.Partial, partialFlag) | flag(e.Aside, asideFlag)
 	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
 	binary.BigEndian.PutUint16(b[listOffset:], e.List)
 	b[hopOffset] = e.Hop
@@ -199,6 +200,7 @@
 	e.Take = b[flagsOffset]&takeFlag != 0
 	e.More = b[flagsOffset]&moreFlag != 0
 	e.Partial = b[flagsOffset]&partialFlag != 0
+	e.Aside = b[flagsOffset]&asideFlag != 0
 	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
 	e.List = binary.BigEndian.Uint16(b[listOffset:])
 	e.Hop, e.Count = b[hopOffset], b[countOffset]
@@ -233,9 +235,6 @@
 	return Kind(b[kindOffset]), true
 }
 
-// LostLen is the length of a Lost notice, in bytes.
-const LostLen = 3 + packet.FlowLen
-
 func flag(set bool, bit byte) byte {
 	if set {
 		return bit
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -70,9 +70,10 @@
 			t.Fatalf("report %t %+v %v, want %+v %v", ok, gotLoad, gotFlow, l, f)
 		}
 		var lost [LostLen]byte
-		PutLost(lost[:], f, true)
-		if got, complete, ok := ParseLost(lost[:]); !ok || !complete || got != f {
-			t.Fatalf("lost %t %t %v", ok, complete, got)
+		notice := LostNotice{Flow: f, Complete: true, Searched: true, Attempt: 3, List: 0x1234}
+		notice.Put(lost[:])
+		if got, ok := ParseLost(lost[:]); !ok || got != notice {
+			t.Fatalf("lost %t %+v, want %+v", ok, got, notice)
 		}
 		fresh := Freshness{
 			ConfigVersion: rapid.Uint64().Draw(t, "version"), Revision: rapid.Uint64().Draw(t, "revision"),
@@ -99,7 +100,7 @@
 			_ = e.Self()
 		}
 		_, _, _ = ParseReport(raw)
-		_, _, _ = ParseLost(raw)
+		_, _ = ParseLost(raw)
 		_, _, _ = ParseDigest(raw)
 	})
 }
