Count flows as gone when their VM is silent for 3 s or has left after draining

A drained server that is no longer listed and whose agent is silent has left. An agent that left every message unanswered for 3 s, while most others answer, is lost: its known flows are searched, and may be reset. A balancer that hears less than half of the agents concludes nothing.

--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -61,7 +61,7 @@
 		return
 	}
 	at, ok := b.cache.Refresh(flow)
-	if ok && at.agent.IsValid() {
+	if ok && at.agent.IsValid() && !(*b.lost.Load())[at.agent] {
 		b.counts.Cached.Add(1)
 		b.cached.Clear()
 		b.address(&b.cached, route)
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -80,6 +80,8 @@
 	cached steer.Envelope
 	cache  *recent.Map[packet.Flow, place]
 	counts Counts
+	// lost holds the agents whose flows count as gone.
+	lost atomic.Pointer[map[netip.AddrPort]bool]
 	// packets counts the packets of callers.
 	packets atomic.Uint64
 
@@ -131,13 +133,15 @@
 // NewWiredBalancer returns a balancer without sockets. Its datagrams are passed
 // to FromCaller and FromFleet, and PingAgents is called every PingInterval.
 func NewWiredBalancer(c Config, w Wire) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		config:    c,
 		wire:      w,
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Clock.Now()),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 	}
+	b.lost.Store(&map[netip.AddrPort]bool{})
+	return b
 }
 
 func writeTo(c *net.UDPConn) func(raw []byte, to netip.AddrPort) error {
@@ -212,11 +216,13 @@
 	now := b.config.Clock.Now()
 	b.mu.Lock()
 	b.selection.Turned(now, b.logTurn)
+	lost := b.selection.Lost(now)
 	stale := b.selection.Stale(now.Add(-freshReport), now)
 	for _, a := range stale {
 		b.selection.Asked(a, now)
 	}
 	b.mu.Unlock()
+	b.lost.Store(&lost)
 	for _, a := range stale {
 		b.Send(ping[:], a)
 	}
--- a/internal/packetbalancer/search_test.go
+++ b/internal/packetbalancer/search_test.go
@@ -4,6 +4,10 @@
 	"net/netip"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -57,3 +61,47 @@
 		t.Errorf("%d resets of a flow that was found since, want none but the first", resets)
 	}
 }
+
+// TestFlowsOfLostVM checks that the flows of a server whose VM has gone silent for
+// long are searched, and reset, though the balancer remembers their agent.
+func TestFlowsOfLostVM(t *testing.T) {
+	x, _, _ := newBenchBalancer(t, 4)
+	clock := clockwork.NewFakeClock()
+	x.config.Clock = clock
+	sent := make(map[netip.AddrPort]int)
+	agents := make(map[netip.AddrPort]bool)
+	x.wire.ToFleet = func(raw []byte, to netip.AddrPort) error {
+		if kind, _ := steer.KindOf(raw); kind == steer.Ping {
+			agents[to] = true
+		} else {
+			sent[to]++
+		}
+		return nil
+	}
+	x.PingAgents()
+	list := lo.Keys(agents)
+	if len(list) != 4 {
+		t.Fatalf("%d agents pinged, want 4", len(list))
+	}
+	dark, others := list[0], list[1:]
+	f, raw := flowPacket(1, 200)
+	x.hold(f, dark)
+	x.FromCaller(raw)
+	if sent[dark] != 1 {
+		t.Fatalf("%d packets to the holder, want 1", sent[dark])
+	}
+	for range 40 {
+		clock.Advance(PingInterval)
+		for _, a := range others {
+			var report [steer.ReportLen]byte
+			steer.PutReport(report[:], steer.Load{State: steer.Up}, packet.Flow{})
+			x.handleReport(report[:], a)
+		}
+		x.PingAgents()
+	}
+	x.FromCaller(raw)
+	asked := lo.CountBy(others, func(a netip.AddrPort) bool { return sent[a] > 0 })
+	if asked != 1 {
+		t.Errorf("the search began at %d other agents, want 1", asked)
+	}
+}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -3,6 +3,7 @@
 package selection
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -40,6 +41,10 @@
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
+	// lostAfter is how long an agent may leave every message unanswered before the
+	// flows of its server count as gone, although the server is listed: planned
+	// restarts take less, and requests sent before have passed their timeouts.
+	lostAfter = 3 * time.Second
 	// startSpread is how much earlier than this balancer a server may have started if
 	// both lost power together: VMs start within 0.3 s of each other, and their clocks
 	// differ a little.
@@ -93,6 +98,8 @@
 	// emptySince holds when the last usable server of a service was lost.
 	emptySince map[string]time.Time
 	scored     []scored
+	// lost holds what Lost last returned.
+	lost map[netip.AddrPort]bool
 }
 
 type scored struct {
@@ -112,6 +119,7 @@
 		started:    started,
 		ranker:     rendezvous.NewRanker(nil),
 		agents:     make(map[netip.AddrPort]*Agent),
+		lost:       make(map[netip.AddrPort]bool),
 		byService:  make(map[string][]*Agent),
 	}
 }
@@ -254,6 +262,26 @@
 	s.read = at
 }
 
+// Lost returns the agents that have not answered for so long that flows of their
+// servers count as gone. It returns none if half of all agents do not answer, as
+// then the balancer itself is cut off.
+func (s *Selection) Lost(now time.Time) map[netip.AddrPort]bool {
+	clear(s.lost)
+	silent := 0
+	for address, a := range s.agents {
+		if a.suspect(now) {
+			silent++
+		}
+		if !a.Asked.IsZero() && now.Sub(a.Asked) > lostAfter {
+			s.lost[address] = true
+		}
+	}
+	if 2*silent >= len(s.agents) {
+		clear(s.lost)
+	}
+	return maps.Clone(s.lost)
+}
+
 // Stale returns the agents to ask for a report: those whose latest is older than
 // the given time, and those that do not answer.
 func (s *Selection) Stale(since, now time.Time) []netip.AddrPort {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -54,6 +54,10 @@
 				}
 				now = now.Add(wait)
 				return ""
+			case "lost":
+				lost := lo.Map(lo.Keys(s.Lost(now)), func(a netip.AddrPort, _ int) string { return number(steer.Candidate{Agent: a}) })
+				slices.Sort(lost)
+				return strings.Join(lost, " ")
 			case "spread":
 				return spread(t, d, s, now)
 			case "walk":
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -106,7 +107,13 @@
 // mayHideFlow reports whether the server of an agent that does not answer may
 // live and hold flows.
 func (s *Selection) mayHideFlow(a *Agent, now time.Time) bool {
-	return a.suspect(now) && s.missing(a) < goneAfter
+	return a.suspect(now) && !a.left() && !s.lost[a.Address] && s.missing(a) < goneAfter
+}
+
+// left reports whether the server of an agent that does not answer has stopped as
+// planned.
+func (a *Agent) left() bool {
+	return a.Server.State == catalog.Draining && !a.Missing.IsZero()
 }
 
 // AllFresh reports whether every listed server of the services had just started
