Leave the rotation while most agents cannot be reached

Ruled out: searches (none were sent), stale catalogs.

A balancer that more than half of the agents of listed servers have not answered for 0.3 s answers its readiness probe with 503 until they do.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -155,7 +155,7 @@
 		return
 	}
 	for _, o := range b.lab.balancers {
-		if o == b || !o.up || o.cut || b.cut || !o.corroborated() {
+		if o == b || !o.up || !passes(o.vm, b.vm) || !o.corroborated() {
 			continue
 		}
 		b.told = true
@@ -196,8 +196,9 @@
 	}
 }
 
-// route carries a packet of a caller to a balancer in its zone, by a hash of the
-// flow that moves only the flows of balancers that come or go.
+// route carries a packet of a caller to a balancer in its zone, or in any if none
+// there is in rotation, by a hash of the flow that moves only the flows of balancers
+// that come or go.
 func (l *Lab) route(c *caller, f packet.Flow, raw []byte) {
 	var key [packet.FlowLen]byte
 	f.Put(key[:])
@@ -205,8 +206,9 @@
 	hash := ranker.Hash(key[:])
 	var best *balancerVM
 	var bestScore float64
+	near := lo.ContainsBy(l.balancers, func(b *balancerVM) bool { return b.zone == c.near && b.inRotation() })
 	for _, b := range l.balancers {
-		if b.zone != c.near || !b.inRotation() {
+		if near && b.zone != c.near || !b.inRotation() {
 			continue
 		}
 		if score := ranker.Score(hash, b.hash, 1); best == nil || score > bestScore {
@@ -233,5 +235,5 @@
 	if r := b.lab.real; r != nil {
 		return r.ready(b)
 	}
-	return b.up && b.catalog.Complete() || !b.up && b.lab.clock.Now().Before(b.goneAt)
+	return b.up && b.catalog.Complete() && !b.balancer.CutOff() || !b.up && b.lab.clock.Now().Before(b.goneAt)
 }
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -167,6 +167,14 @@
 	l.after(d, func() { b.cut, b.disturbed = false, l.clock.Now() })
 }
 
+// IsolateBalancer cuts a balancer off from all balancers and agents for the given
+// time, while callers and the platform reach it.
+func (l *Lab) IsolateBalancer(i int, d time.Duration) {
+	b := l.balancers[i]
+	b.isolated = true
+	l.after(d, func() { b.isolated = false })
+}
+
 // address returns the nth service address.
 func address(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(8000+n))
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -82,6 +82,8 @@
 	up   bool
 	// cut VMs exchange nothing with any other.
 	cut bool
+	// isolated VMs exchange nothing with others but callers and the platform.
+	isolated bool
 	// epoch grows with every start, so that events of former processes are ignored.
 	epoch int
 	// disturbed is when the VM was last started, stopped or cut.
@@ -226,7 +228,14 @@
 }
 
 func passes(a, b *vm) bool {
-	return a == b || (a == nil || !a.cut) && !b.cut
+	switch {
+	case a == b:
+		return true
+	case a == nil || a.zone == callerZone || b.zone == callerZone:
+		return (a == nil || !a.cut) && !b.cut
+	default:
+		return !a.cut && !b.cut && !a.isolated && !b.isolated
+	}
 }
 
 func (l *Lab) delay(a, b *vm) time.Duration {
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -165,6 +165,8 @@
 			l.PlatformDown(length, true)
 		case "cutBalancer":
 			l.CutBalancer(index, length)
+		case "isolateBalancer":
+			l.IsolateBalancer(index, length)
 		case "addBalancer":
 			l.AddBalancer(l.zones[index%len(l.zones)])
 		case "addServer":
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -12,11 +12,16 @@
 var (
 	firstSeed = flag.Uint64("packetlab.seed", 1, "first seed of TestRandomFaults")
 	seedCount = flag.Int("packetlab.seeds", 24, "number of seeds of TestRandomFaults")
+	// isolationCount is how many seeds from isolationSeeds on are played besides.
+	isolationCount = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 )
 
 const (
 	randomFrom  = 4 * time.Second
 	randomUntil = 20 * time.Second
+	// isolationSeeds is the first seed whose schedule also isolates balancers; those
+	// below keep the schedules that have failed once.
+	isolationSeeds = 1000
 	// randomCalm is the time after the last fault, in which requests must be served.
 	randomCalm = 8 * time.Second
 )
@@ -28,6 +33,9 @@
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(isolationSeeds); seed < isolationSeeds+uint64(*isolationCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 }
 
 func playRandom(t *testing.T, seed uint64) {
@@ -53,10 +61,14 @@
 		c.Load(pageKind, 4*time.Second, loadUntil)
 	}
 	var faults []string
+	kinds := 12
+	if seed >= isolationSeeds {
+		kinds = 13
+	}
 	lost := 0
 	for at := randomFrom; at < randomUntil; at += time.Duration(r.Int64N(int64(1500 * time.Millisecond))) {
 		d := 100*time.Millisecond + time.Duration(r.Int64N(int64(3*time.Second)))
-		kind, pick := r.IntN(12), r.IntN(1000)
+		kind, pick := r.IntN(kinds), r.IntN(1000)
 		if (kind == 5 || kind == 6 || kind == 10) && lost >= 3 {
 			continue
 		}
@@ -114,6 +126,9 @@
 	case kind == 9:
 		l.CutBalancer(b, d)
 		return fmt.Sprintf("cutBalancer %d %v", b, d)
+	case kind == 12:
+		l.IsolateBalancer(b, d)
+		return fmt.Sprintf("isolateBalancer %d %v", b, d)
 	case kind == 10 && running && l.servers[s].service.Name == "pass":
 		l.ReuseAddress(s, portalService, 2*time.Second+d)
 		return fmt.Sprintf("reuseAddress %d %v", s, d)
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -28,6 +28,9 @@
 	// PingInterval is the pause between rounds of pings to agents that do not
 	// answer: no search is complete before they do.
 	PingInterval = 100 * time.Millisecond
+	// cutOffAfter is how long most agents must not answer before the balancer counts
+	// as cut off: a lost datagram or a busy moment takes less.
+	cutOffAfter = 300 * time.Millisecond
 	// freshReport is the age of a report after which an agent that answers is pinged.
 	freshReport = 250 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is read.
@@ -85,8 +88,13 @@
 	// packets counts the packets of callers.
 	packets atomic.Uint64
 
+	// cutOff is whether the balancer has not reached most agents for some time.
+	cutOff atomic.Bool
+
 	mu        sync.Mutex
 	selection *selection.Selection
+	// cutOffSince is when most agents stopped answering; zero if they answer.
+	cutOffSince time.Time
 	// aside is scratch space of walk.
 	aside []steer.Candidate
 }
@@ -217,6 +225,7 @@
 	b.mu.Lock()
 	b.selection.Turned(now, b.logTurn)
 	lost := b.selection.Lost(now)
+	b.noteCutOff(now)
 	stale := b.selection.Stale(now.Add(-freshReport), now)
 	for _, a := range stale {
 		b.selection.Asked(a, now)
@@ -228,6 +237,29 @@
 	}
 }
 
+// noteCutOff notes whether the agents can be reached. The caller holds the lock.
+func (b *Balancer) noteCutOff(now time.Time) {
+	if !b.selection.CutOff(now) {
+		if b.cutOff.Swap(false) {
+			b.config.Log.Info("agentsRegained").Dur("outage", now.Sub(b.cutOffSince)).Send()
+		}
+		b.cutOffSince = time.Time{}
+		return
+	}
+	if b.cutOffSince.IsZero() {
+		b.cutOffSince = now
+	}
+	if now.Sub(b.cutOffSince) >= cutOffAfter && !b.cutOff.Swap(true) {
+		b.config.Log.Warn("agentsLost").Time("since", b.cutOffSince).Send()
+	}
+}
+
+// CutOff reports whether most agents have not answered for some time, so that
+// packets are better given to other balancers.
+func (b *Balancer) CutOff() bool {
+	return b.cutOff.Load()
+}
+
 // logTurn writes that an agent has stopped or started to answer.
 func (b *Balancer) logTurn(a selection.Agent, silent bool) {
 	if !silent {
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -87,7 +87,7 @@
 	}
 	b.metrics.AddBalancer(b.forward, b.directory)
 	b.ready, err = readiness.NewServer(s.Ready, func() bool {
-		return !b.leaving.Load() && b.directory.Catalog().Complete()
+		return !b.leaving.Load() && !b.forward.CutOff() && b.directory.Catalog().Complete()
 	})
 	return b, err
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -282,6 +282,22 @@
 	return maps.Clone(s.lost)
 }
 
+// CutOff reports whether more than half of the agents of listed servers do not
+// answer: then others are likely to reach them better.
+func (s *Selection) CutOff(now time.Time) bool {
+	listed, silent := 0, 0
+	for _, a := range s.agents {
+		if !a.Missing.IsZero() {
+			continue
+		}
+		listed++
+		if a.suspect(now) {
+			silent++
+		}
+	}
+	return 2*silent > listed
+}
+
 // Stale returns the agents to ask for a report: those whose latest is older than
 // the given time, and those that do not answer.
 func (s *Selection) Stale(since, now time.Time) []netip.AddrPort {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -54,6 +54,8 @@
 				}
 				now = now.Add(wait)
 				return ""
+			case "cutOff":
+				return strconv.FormatBool(s.CutOff(now))
 			case "lost":
 				lost := lo.Map(lo.Keys(s.Lost(now)), func(a netip.AddrPort, _ int) string { return number(steer.Candidate{Agent: a}) })
 				slices.Sort(lost)
