Explain requests that their callers gave up, and flows that were not placed

Cause: TestExplain plays five failures of known causes in the emulator and compares what explain tells from the logs alone. 7 of 56 flows behind slow servers were 'unanswered' and 3 'answered' (an earlier request on the flow was): nothing was written when a caller ended a flow whose request waited or ran. 33 of 248 flows of a service without servers had no line at all before the first refusal.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -56,6 +56,17 @@
 		{event: "requestOverdue", name: "serverOverdue", text: func(l Line) string {
 			return fmt.Sprintf("the server beside %s had the request for %v ms without an answer; it may have run", l.VM, l.Fields["server"])
 		}},
+		{event: "requestAbandoned", matches: held, name: "abandonedWaiting", text: func(l Line) string {
+			return fmt.Sprintf("not run: its caller gave up while it waited at %s behind %v running and %v waiting requests",
+				l.VM, l.Fields["running"], l.Fields["waiting"])
+		}},
+		{event: "requestAbandoned", name: "abandonedRunning", text: func(l Line) string {
+			return fmt.Sprintf("its caller gave up when the server beside %s had it for %v ms, after a wait of %v ms; it may have run",
+				l.VM, l.Fields["server"], l.Fields["waited"])
+		}},
+		{event: "flowNotPlaced", name: "notPlaced", text: func(l Line) string {
+			return fmt.Sprintf("not run: %s knew no server of service %v that takes new flows, and waited for one to return", l.VM, l.Fields["service"])
+		}},
 		{event: "flowNotFound", name: "lost", text: func(Line) string {
 			return "lost: no agent that could be reached holds the flow, and some could not be reached"
 		}},
@@ -75,6 +86,10 @@
 	return func(l Line) bool { return l.Fields["reason"] == want }
 }
 
+func held(l Line) bool {
+	return l.Fields["held"] == true
+}
+
 func waitedMost(l Line) bool {
 	waited, _ := l.Fields["waited"].(float64)
 	server, _ := l.Fields["server"].(float64)
--- a/internal/lab/packetlab/caller.go
+++ b/internal/lab/packetlab/caller.go
@@ -226,6 +226,7 @@
 		return
 	}
 	f.request = nil
+	f.caller.lab.broken = append(f.caller.lab.broken, f.flow)
 	if r.tries < maxTries && (notRun || !r.kind.Once) {
 		f.caller.try(r, nil)
 		return
@@ -292,6 +293,7 @@
 	for _, f := range c.flows {
 		if f.request == r {
 			f.request = nil
+			c.lab.broken = append(c.lab.broken, f.flow)
 			f.finish()
 		}
 	}
--- /dev/null
+++ b/internal/lab/packetlab/explain_test.go
@@ -0,0 +1,78 @@
+package packetlab
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/explain"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+)
+
+// TestExplain plays the scripts in testdata/explain: failures of known causes. From
+// the logs alone, explain must tell the cause of the requests that failed. causes
+// takes the names of causes that are right, and the least share of flows that must
+// have one of them.
+func TestExplain(t *testing.T) {
+	datadriven.Walk(t, "testdata/explain", func(t *testing.T, path string) {
+		var l *Lab
+		var log bytes.Buffer
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "deploy":
+				l = deploy(t, d)
+				return ""
+			case "log":
+				l.logInto(&log)
+				for i := range l.balancers {
+					l.RestartBalancer(i, 0)
+				}
+				for i := range l.servers {
+					l.RestartAgent(i, 0)
+				}
+				return ""
+			case "causes":
+				return causes(t, d, l, &log)
+			default:
+				return step(t, d, l)
+			}
+		})
+	})
+}
+
+// causes explains the flows that have broken since the last call.
+func causes(t *testing.T, d *datadriven.TestData, l *Lab, log *bytes.Buffer) string {
+	t.Helper()
+	var text string
+	var least float64
+	d.ScanArgs(t, "share", &text)
+	if _, err := fmt.Sscan(text, &least); err != nil {
+		t.Fatal(err)
+	}
+	right := strings.Fields(d.Input)
+	lines, err := explain.Read(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(l.broken) == 0 {
+		return "no request has failed"
+	}
+	told := lo.CountValues(lo.Map(l.broken, func(f packet.Flow, _ int) string {
+		return explain.NewStory(lines, f.String()).Cause.Name
+	}))
+	t.Logf("%s: %d flows: %v", d.Pos, len(l.broken), told)
+	explained := lo.SumBy(right, func(name string) int { return told[name] })
+	share := float64(explained) / float64(len(l.broken))
+	l.broken = nil
+	if share < least {
+		names := lo.Keys(told)
+		slices.Sort(names)
+		return fmt.Sprintf("%.2f of the flows explained; told: %v", share, names)
+	}
+	return "explained"
+}
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -71,8 +71,10 @@
 	// once holds the requests that must not run twice, ran those of them that ran.
 	once, ran map[uint64]bool
 	tally     Tally
-	nextIP    int
-	nextID    uint64
+	// broken holds the flows on which a request ended without an answer, in order.
+	broken []packet.Flow
+	nextIP int
+	nextID uint64
 }
 
 // vm is a virtual machine.
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -37,26 +38,33 @@
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var l *Lab
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			switch d.Cmd {
-			case "deploy":
+			if d.Cmd == "deploy" {
 				l = deploy(t, d)
-				return ""
-			case "load":
-				load(t, d, l)
-				return ""
-			case "fault":
-				schedule(t, d, l)
-				return ""
-			case "play":
-				return play(t, d, l)
-			default:
-				d.Fatalf(t, "unknown command %q", d.Cmd)
+				l.logTo(t, *logFile)
 				return ""
 			}
+			return step(t, d, l)
 		})
 	})
 }
 
+// step plays one command of a script after its deployment.
+func step(t *testing.T, d *datadriven.TestData, l *Lab) string {
+	switch d.Cmd {
+	case "load":
+		load(t, d, l)
+		return ""
+	case "fault":
+		schedule(t, d, l)
+		return ""
+	case "play":
+		return play(t, d, l)
+	default:
+		d.Fatalf(t, "unknown command %q", d.Cmd)
+		return ""
+	}
+}
+
 // deploy builds a deployment: balancers, pass and portal servers are spread over
 // the zones in turn.
 func deploy(t *testing.T, d *datadriven.TestData) *Lab {
@@ -71,7 +79,6 @@
 		names[i] = fmt.Sprintf("zone-%c", 'a'+i)
 	}
 	l := NewLab(uint64(seed), names...)
-	l.logTo(t, *logFile)
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	for i := range pass {
 		l.AddServer(names[i%zones], passService, passSpeeds[i%len(passSpeeds)])
@@ -94,8 +101,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Log = zerolog.New(f).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
-		e.Float64("at", l.Elapsed().Seconds())
+	l.logInto(f)
+}
+
+// logInto writes the log of all processes that start from now on.
+func (l *Lab) logInto(w io.Writer) {
+	l.Log = zerolog.New(w).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Float64("at", l.Elapsed().Seconds()).Time("time", l.clock.Now())
 	}))
 }
 
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -69,6 +69,7 @@
 		a.finish(entry, p, now)
 	}
 	if entry.State == flowtable.Closed {
+		a.logAbandoned(entry, now)
 		a.cancel(entry)
 		a.fill(now)
 	}
@@ -81,6 +82,8 @@
 	r := a.running[entry.Flow]
 	a.config.Log.Info("requestReset").Stringer("flow", entry.Flow).Str("request", entry.RequestID).
 		Dur("server", now.Sub(r.delivered)).Float32("failures", a.failures.share(now)).Send()
+	delete(a.running, entry.Flow)
+	entry.Running = false
 }
 
 // tellAsker tells the balancer that searched for a flow that the server holds it.
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -89,6 +89,7 @@
 	}
 	entry.Sent(p, now)
 	if p.Reset || p.Fin && entry.Held {
+		a.logAbandoned(entry, now)
 		a.cancel(entry)
 	}
 	a.deliver(e, p, rest, now)
@@ -112,7 +113,7 @@
 	a.running[entry.Flow] = running{sent: sent, delivered: now, concurrent: len(a.running) + 1}
 }
 
-// cancel forgets the request of a flow that its caller has given up.
+// cancel forgets the request of a flow that has ended.
 func (a *Agent) cancel(entry *flowtable.Entry) {
 	delete(a.running, entry.Flow)
 	delete(a.expected, entry.Flow)
@@ -120,6 +121,18 @@
 	entry.Running, entry.Held = false, false
 }
 
+// logAbandoned writes that a caller ended its flow while the request waited or ran.
+func (a *Agent) logAbandoned(entry *flowtable.Entry, now time.Time) {
+	if !entry.Running && !entry.Held {
+		return
+	}
+	line := a.config.Log.Info("requestAbandoned").Stringer("flow", entry.Flow).Str("request", entry.RequestID).Bool("held", entry.Held)
+	if r, ok := a.running[entry.Flow]; ok {
+		line = line.Dur("age", now.Sub(r.sent)).Dur("waited", r.delivered.Sub(r.sent)).Dur("server", now.Sub(r.delivered))
+	}
+	line.Int("running", len(a.running)).Int("waiting", a.queue.Len()).Dur("service", a.service.Mean()).Send()
+}
+
 // finish notes the first bytes of the answer to a request, and gives the server
 // the next one.
 func (a *Agent) finish(entry *flowtable.Entry, p packet.Packet, now time.Time) {
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -120,7 +120,10 @@
 		b.counts.NoServer.Add(1)
 		if hopeless && p.AckSeq == 0 {
 			b.refuse(flow, p, service)
+			return
 		}
+		b.config.Log.Info("flowNotPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Str("service", service).
+			Dur("platformAge", now.Sub(b.config.ReadAt())).Send()
 		return
 	}
 	b.counts.Placed.Add(1)
