Lose no signal that comes while a process starts

Main caught signals on one channel, so that an early SIGHUP does not end the process, and run on another; what came between went to the first alone, which nobody reads. A balancer told to leave within its first milliseconds went on and was killed with its flows. Now one channel takes all.

--- a/internal/packetcli/commands.go
+++ b/internal/packetcli/commands.go
@@ -17,8 +17,8 @@
 }
 
 // Run runs a balancer until it is told to leave.
-func (c *balancerCommand) Run() error {
-	return run(c.Settings, func(s packetsettings.Balancer) packetsettings.Common { return s.Common },
+func (c *balancerCommand) Run(caught signals) error {
+	return run(c.Settings, caught, func(s packetsettings.Balancer) packetsettings.Common { return s.Common },
 		func(s packetsettings.Balancer, l *eventlog.Log) (process, error) { return newBalancer(s, l) })
 }
 
@@ -27,8 +27,8 @@
 }
 
 // Run runs an agent until it is told to leave.
-func (c *agentCommand) Run() error {
-	return run(c.Settings, func(s packetsettings.Agent) packetsettings.Common { return s.Common },
+func (c *agentCommand) Run(caught signals) error {
+	return run(c.Settings, caught, func(s packetsettings.Agent) packetsettings.Common { return s.Common },
 		func(s packetsettings.Agent, l *eventlog.Log) (process, error) { return newAgent(s, l) })
 }
 
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -40,8 +40,10 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	// A SIGHUP before its handler is set would end the process.
-	defer signal.Stop(catchSignals())
+	// A SIGHUP before its handler is set would end the process, and one channel takes
+	// them all, so that none is lost that comes before the process serves.
+	caught := catchSignals()
+	defer signal.Stop(caught)
 	var c commands
 	exit, exited := exitOK, false
 	parser, err := kong.New(&c,
@@ -64,6 +66,7 @@
 		return max(exit, exitFailed)
 	}
 	ctx.BindTo(stdout, (*io.Writer)(nil))
+	ctx.Bind(caught)
 	if err := ctx.Run(); err != nil {
 		_, _ = fmt.Fprintln(stderr, "bergamotflow:", err)
 		return exitFailed
@@ -79,9 +82,7 @@
 
 // run loads the settings of a process and serves it under signals: SIGTERM and
 // SIGINT make it leave, SIGHUP reads the log level again.
-func run[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, build func(T, *eventlog.Log) (process, error)) error {
-	signals := catchSignals()
-	defer signal.Stop(signals)
+func run[T packetsettings.Checkable](path string, caught signals, common func(T) packetsettings.Common, build func(T, *eventlog.Log) (process, error)) error {
 	s, err := packetsettings.Load[T](path)
 	if err != nil {
 		return err
@@ -106,7 +107,7 @@
 			log.Flush()
 		case err := <-done:
 			return err
-		case s := <-signals:
+		case s := <-caught:
 			if s == syscall.SIGHUP {
 				reload(path, common, log)
 				continue
@@ -116,11 +117,13 @@
 	}
 }
 
-// catchSignals returns a channel with the signals that a process handles.
-func catchSignals() chan os.Signal {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return signals
+// signals delivers the signals that a process handles.
+type signals chan os.Signal
+
+func catchSignals() signals {
+	caught := make(signals, 4)
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return caught
 }
 
 func reload[T packetsettings.Checkable](path string, common func(T) packetsettings.Common, log *eventlog.Log) {
