Keep replicas of the catalog at two agents of each zone

Ruled out: a wrong order of start (there was nobody to ask), the call timeout.

Two agents in each zone now keep what the balancers there know, by the exchange that balancers use, and announce it. A balancer that has learnt nothing from the platform or another balancer for 0.4 s takes it. It also tells which entries have lapsed, so that searches may conclude.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,11 +28,17 @@
 
 // Config are the parameters of a directory.
 type Config struct {
-	// Self is the balancer's address for datagrams between balancers.
+	// Self is the address for datagrams of other directories.
 	Self netip.AddrPort
-	// Peer is the balancer's address for calls between balancers; its port is the
-	// same on all balancers.
+	// Peer is the address at which calls of other directories are taken.
 	Peer netip.AddrPort
+	// PeerPort and ReplicaPort are the ports of calls to balancers and to replicas.
+	PeerPort, ReplicaPort uint16
+	// Replica is true if the directory only keeps what balancers know, for those that
+	// start while the platform cannot be read. It never reads the platform.
+	Replica bool
+	// Zone is the availability zone; a balancer keeps replicas in its own.
+	Zone string
 	// Seeds are addresses of balancers to ask at the start; some may be down.
 	Seeds []netip.Addr
 	// Source reads the platform.
@@ -57,10 +63,12 @@
 	Since time.Time
 }
 
-// Directory keeps the catalog of a balancer. It is safe for concurrent use.
+// Directory keeps the catalog of a balancer, or a replica of it at an agent. It is
+// safe for concurrent use.
 type Directory struct {
-	config Config
-	server *rpc.Server
+	config  Config
+	server  *rpc.Server
+	started time.Time
 	// catalog is never nil; it is replaced, not changed.
 	catalog atomic.Pointer[catalog.Catalog]
 
@@ -101,6 +109,7 @@
 func NewDirectory(c Config) *Directory {
 	d := &Directory{
 		config:   c,
+		started:  c.Clock.Now(),
 		server:   rpc.NewServer(c.Self.Addr()),
 		members:  make(map[netip.AddrPort]time.Time),
 		fetching: make(map[netip.AddrPort]bool),
@@ -137,8 +146,10 @@
 // Run reads and exchanges until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { d.askSeeds(ctx) })
-	wg.Go(func() { d.readPlatform(ctx) })
+	if !d.config.Replica {
+		wg.Go(func() { d.askSeeds(ctx) })
+		wg.Go(func() { d.readPlatform(ctx) })
+	}
 	wg.Go(func() { d.exchange(ctx) })
 	wg.Go(func() { d.listen(ctx) })
 	wg.Wait()
@@ -254,6 +265,7 @@
 		Sum:           d.sum,
 		Leaving:       d.leaving,
 		Corroborated:  d.knows(),
+		Replica:       d.config.Replica,
 	}
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -23,6 +23,8 @@
 	routes  catalog.Routes
 	servers catalog.Servers
 	refused map[netip.Addr]bool
+	// address is that of all servers.
+	address netip.Addr
 	calls   int
 }
 
@@ -55,7 +57,7 @@
 	s.routes = catalog.Routes{Version: version}
 	var list []catalog.Server
 	for _, id := range ids {
-		list = append(list, catalog.Server{ID: id, Service: "pass", Address: netip.MustParseAddr("10.0.0.1")})
+		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Address: s.address})
 	}
 	s.servers = catalog.NewServers(revision, list)
 }
@@ -83,22 +85,32 @@
 	}
 	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
 	_ = l.Close()
-	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool)}, port: port, all: make(map[netip.AddrPort]*Directory)}
+	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory)}
 }
 
 // start runs a directory on 127.0.0.n until the test ends.
 func (f *fleet) start(n byte) *Directory {
+	d, _ := f.run(n, false)
+	return d
+}
+
+// run runs a directory on 127.0.0.n until the test ends or stop is called.
+func (f *fleet) run(n byte, replica bool) (d *Directory, stop func()) {
 	ip := netip.AddrFrom4([4]byte{127, 0, 0, n})
 	self := netip.AddrPortFrom(ip, 7000)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := NewDirectory(Config{
-		Self:   self,
-		Peer:   netip.AddrPortFrom(ip, f.port),
-		Seeds:  []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
-		Source: f.store.source(ip),
+	d = NewDirectory(Config{
+		Self:        self,
+		Peer:        netip.AddrPortFrom(ip, f.port),
+		PeerPort:    f.port,
+		ReplicaPort: f.port,
+		Replica:     replica,
+		Zone:        "a",
+		Seeds:       []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
+		Source:      f.store.source(ip),
 		Send: func(b []byte, to netip.AddrPort) {
 			f.mu.Lock()
-			other := f.all[to]
+			other := f.all[netip.AddrPortFrom(to.Addr(), 7000)]
 			f.mu.Unlock()
 			if other != nil {
 				other.HandleDigest(ctx, append([]byte(nil), b...), self)
@@ -116,11 +128,15 @@
 		d.Run(ctx)
 		close(done)
 	}()
-	f.t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
+		f.mu.Lock()
+		delete(f.all, self)
+		f.mu.Unlock()
 		cancel()
 		<-done
 	})
-	return d
+	f.t.Cleanup(stop)
+	return d, stop
 }
 
 // await waits until a directory has the given versions.
@@ -267,3 +283,29 @@
 		t.Errorf("%d calls in two intervals after the start, want at most %d", calls, most)
 	}
 }
+
+// TestBalancersRestartWhilePlatformIsDown checks that agents keep the catalog when
+// every balancer restarts and the platform cannot be read, and that nobody takes it
+// from them while the platform answers.
+func TestBalancersRestartWhilePlatformIsDown(t *testing.T) {
+	f := newFleet(t)
+	f.store.address = netip.MustParseAddr("127.0.0.9")
+	f.store.publish(4, 7, "a")
+	first, stop := f.run(1, false)
+	await(t, first, 4, 7, changeBound)
+	replica, _ := f.run(9, true)
+	await(t, replica, 4, 7, time.Second)
+	f.store.publish(5, 8, "a", "b")
+	await(t, replica, 5, 8, changeBound)
+
+	stop()
+	f.store.refuse(netip.MustParseAddr("127.0.0.1"), true)
+	again, _ := f.run(1, false)
+	await(t, again, 5, 8, replicaAfter+3*digestInterval)
+	if !again.Catalog().Complete() {
+		t.Error("the catalog is not complete")
+	}
+	if n := replica.Counts().Reads.Load(); n != 0 {
+		t.Errorf("%d readings by the replica, want none", n)
+	}
+}
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -77,7 +77,7 @@
 	targets := d.targets()
 	var b [steer.DigestMaxLen]byte
 	n := steer.PutDigest(b[:], f, lo.Samples(targets, steer.MaxMembers))
-	for _, t := range targets {
+	for _, t := range append(targets, d.replicas()...) {
 		d.config.Send(b[:n], t)
 	}
 }
@@ -105,6 +105,10 @@
 	if !ok {
 		return
 	}
+	if f.Replica {
+		d.handleReplica(ctx, f, from)
+		return
+	}
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -125,20 +129,28 @@
 	newer := f.ConfigVersion > c.Routes.Version ||
 		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-settle))
 	d.othersKnow = d.othersKnow || f.Corroborated
-	if (newer || f.Corroborated && !d.knows()) && !d.fetching[from] {
+	if newer || f.Corroborated && !d.knows() {
+		d.startFetch(ctx, from, d.config.PeerPort)
+	}
+}
+
+// startFetch fetches the catalog of another directory, unless that is under way.
+// The caller holds the lock.
+func (d *Directory) startFetch(ctx context.Context, from netip.AddrPort, port uint16) {
+	if !d.fetching[from] {
 		d.fetching[from] = true
-		go d.fetch(ctx, from)
+		go d.fetch(ctx, from, port)
 	}
 }
 
 // fetch takes what another balancer has newer, and what it knows to have lapsed.
-func (d *Directory) fetch(ctx context.Context, from netip.AddrPort) {
+func (d *Directory) fetch(ctx context.Context, from netip.AddrPort, port uint16) {
 	defer func() {
 		d.mu.Lock()
 		delete(d.fetching, from)
 		d.mu.Unlock()
 	}()
-	address := netip.AddrPortFrom(from.Addr(), d.config.Peer.Port())
+	address := netip.AddrPortFrom(from.Addr(), port)
 	c, err := d.server.Dial(ctx, address.String())
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
@@ -212,7 +224,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, s := range d.targets() {
-		wg.Go(func() { d.fetch(ctx, s) })
+		wg.Go(func() { d.fetch(ctx, s, d.config.PeerPort) })
 	}
 	wg.Wait()
 	d.mu.Lock()
--- /dev/null
+++ b/internal/directory/replica.go
@@ -0,0 +1,52 @@
+package directory
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+const (
+	// replicasPerZone is how many agents of a zone keep the catalog: one may restart
+	// together with the balancers.
+	replicasPerZone = 2
+	// replicaAfter is how long a balancer that starts waits for the platform and for
+	// other balancers, whose catalogs are newer, before it takes that of a replica.
+	replicaAfter = 400 * time.Millisecond
+)
+
+// replicas returns the agents that this balancer keeps up to date: the same for all
+// balancers of the zone.
+func (d *Directory) replicas() []netip.AddrPort {
+	if d.config.Replica || d.config.ReplicaPort == 0 {
+		return nil
+	}
+	near := lo.Filter(d.catalog.Load().Servers.List, func(v catalog.Server, _ int) bool {
+		return v.Zone == d.config.Zone && v.State == catalog.Ready
+	})
+	slices.SortFunc(near, func(a, b catalog.Server) int { return a.Address.Compare(b.Address) })
+	addresses := lo.Uniq(lo.Map(near, func(v catalog.Server, _ int) netip.AddrPort {
+		return netip.AddrPortFrom(v.Address, d.config.ReplicaPort)
+	}))
+	return addresses[:min(len(addresses), replicasPerZone)]
+}
+
+// handleReplica takes the catalog of a replica if this balancer has started and
+// could learn of nothing else. The catalog may be old, so it comes last.
+func (d *Directory) handleReplica(ctx context.Context, f steer.Freshness, from netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config.Replica || d.config.Clock.Since(d.started) < replicaAfter {
+		return
+	}
+	empty := !d.catalog.Load().Complete() && f.ConfigVersion > 0 && f.Revision > 0
+	if empty || f.Corroborated && !d.knows() {
+		d.startFetch(ctx, from, d.config.ReplicaPort)
+	}
+}
--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -206,6 +206,7 @@
 		Outbound: s.outbound(),
 		Server:   s.app(),
 		Callers:  netip.AddrPortFrom(s.ip, callerPort),
+		Seeds:    []netip.AddrPort{netip.AddrPortFrom(s.ip, peerPort)},
 	})
 }
 
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -29,11 +29,16 @@
 
 // FromFleet takes a datagram of a balancer or another agent. It may change raw.
 func (a *Agent) FromFleet(raw []byte, from netip.AddrPort) {
+	kind, _ := steer.KindOf(raw)
+	if kind == steer.Digest && a.config.Digest != nil {
+		a.config.Digest(raw, from)
+		return
+	}
 	var e steer.Envelope
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if kind, ok := steer.KindOf(raw); ok && kind == steer.Ping {
+	if kind == steer.Ping {
 		a.listeners[from] = now
 		a.report(from, packet.Flow{}, now)
 		return
@@ -180,7 +185,7 @@
 		copy(raw[e.Len():], rest)
 	}
 	e.Put(raw)
-	a.send(raw, to)
+	a.Send(raw, to)
 }
 
 // handlePacket delivers a packet of a flow that the server holds, and passes
@@ -251,7 +256,7 @@
 	a.counts.Lost.Add(1)
 	var b [steer.LostLen]byte
 	steer.LostNotice{Flow: flow, Complete: e.Complete, Searched: searched, Attempt: e.Attempt, List: e.List}.Put(b[:])
-	a.send(b[:], e.Balancer)
+	a.Send(b[:], e.Balancer)
 }
 
 // refuse resets a new flow that the server could not serve in time. The first
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -117,7 +117,7 @@
 func (a *Agent) report(to netip.AddrPort, f packet.Flow, now time.Time) {
 	var b [steer.ReportLen]byte
 	steer.PutReport(b[:], a.load(now), f)
-	a.send(b[:], to)
+	a.Send(b[:], to)
 }
 
 // reportChange tells the balancers that sent something lately when the number
@@ -139,7 +139,7 @@
 	steer.PutReport(b[:], l, packet.Flow{})
 	for to, at := range a.listeners {
 		if now.Sub(at) <= listenFor {
-			a.send(b[:], to)
+			a.Send(b[:], to)
 		}
 	}
 }
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -133,5 +133,5 @@
 }
 
 func (a *Agent) sendToCaller(raw []byte, flow packet.Flow) {
-	a.send(raw, netip.AddrPortFrom(flow.Caller().Addr(), a.config.CallerPort))
+	a.Send(raw, netip.AddrPortFrom(flow.Caller().Addr(), a.config.CallerPort))
 }
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -49,6 +49,8 @@
 	// Observe takes, when an answer begins, whether its request must not run twice,
 	// the time since it was sent, and the part of that at the server.
 	Observe func(once bool, total, server time.Duration)
+	// Digest takes digests of balancers; nil if the agent keeps no replica.
+	Digest func(raw []byte, from netip.AddrPort)
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log takes events.
@@ -228,7 +230,8 @@
 	return now.Sub(a.started) > a.config.MaxFlow
 }
 
-func (a *Agent) send(raw []byte, to netip.AddrPort) {
+// Send sends a datagram from the agent's relay address.
+func (a *Agent) Send(raw []byte, to netip.AddrPort) {
 	if err := a.wire.ToFleet(raw, to); err != nil {
 		a.counts.SendFailed.Add(1)
 	}
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/directory"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packetagent"
 	"github.com/bergamotgw/bergamotgw/internal/packetmetrics"
@@ -26,8 +28,10 @@
 	clock    clockwork.Clock
 	log      *eventlog.Log
 	carry    *packetagent.Agent
-	metrics  *packetmetrics.Metrics
-	ready    *readiness.Server
+	// replica is nil without seeds.
+	replica *directory.Directory
+	metrics *packetmetrics.Metrics
+	ready   *readiness.Server
 }
 
 func newAgent(s packetsettings.Agent, l *eventlog.Log) (*agent, error) {
@@ -44,16 +48,37 @@
 		Observe:         a.metrics.Answers(s.Service),
 		RequestIDHeader: s.RequestIDHeader,
 		Clock:           a.clock,
+		Digest:          a.handleDigest,
 		Log:             l,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if len(s.Seeds) > 0 {
+		a.replica = directory.NewDirectory(directory.Config{
+			Self:     s.Relay,
+			Peer:     s.Relay,
+			PeerPort: s.Seeds[0].Port(),
+			Replica:  true,
+			Zone:     s.Zone,
+			Send:     a.carry.Send,
+			Changed:  func(*catalog.Catalog, []directory.Lapsed) {},
+			Clock:    a.clock,
+			Log:      l,
+		})
+	}
 	a.metrics.AddAgent(a.carry)
 	a.ready, err = readiness.NewServer(s.Ready, func() bool { return true })
 	return a, err
 }
 
+// handleDigest takes the digest of a balancer.
+func (a *agent) handleDigest(raw []byte, from netip.AddrPort) {
+	if a.replica != nil {
+		a.replica.HandleDigest(context.Background(), raw, from)
+	}
+}
+
 // Run carries packets until the context ends, and then until no request runs.
 func (a *agent) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -61,6 +86,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.carry.Run(serving) })
 	wg.Go(func() { a.ready.Run(serving) })
+	if a.replica != nil {
+		wg.Go(func() { a.replica.Run(serving) })
+	}
 	wg.Go(func() { serveMetrics(serving, a.metrics, a.settings.Metrics, a.log) })
 	a.log.Info("agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
 	<-ctx.Done()
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -49,9 +49,12 @@
 	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
 	store := platform.NewStore(s.Platform, s.Back.Addr())
 	b.directory = directory.NewDirectory(directory.Config{
-		Self:  s.Back,
-		Peer:  s.Peer,
-		Seeds: lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
+		Self:        s.Back,
+		Peer:        s.Peer,
+		PeerPort:    s.Peer.Port(),
+		ReplicaPort: s.AgentPort,
+		Zone:        s.Zone,
+		Seeds:       lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
 		Source: directory.Source{
 			Routes:  store.Routes,
 			Servers: store.Servers,
--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -73,6 +73,10 @@
 	RequestIDHeader string `json:"requestIdHeader,omitempty"`
 	// Callers is any address with the port at which callers take packets.
 	Callers netip.AddrPort `json:"callers"`
+	// Seeds are peer addresses of balancers, of which the port counts: the agent may
+	// keep a replica of their catalog, and serves it over TCP at the relay address.
+	// Without seeds it keeps none.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 }
 
 // Checkable is a settings type that can report its own faults.
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -9,7 +9,7 @@
 // MaxMembers is how many other balancers a digest names at most.
 const MaxMembers = 8
 
-// Freshness tells how recent a balancer's catalog is.
+// Freshness tells how recent the catalog of a balancer or a replica is.
 type Freshness struct {
 	// ConfigVersion is the version of the routes; 0 if none is known.
 	ConfigVersion uint64
@@ -23,12 +23,15 @@
 	Leaving bool
 	// Corroborated is true if the sender knows every server that may live.
 	Corroborated bool
+	// Replica is true if the sender is an agent, which never reads the platform.
+	Replica bool
 }
 
 // Flags of a digest.
 const (
 	leavingFlag = 1 << iota
 	corroboratedFlag
+	replicaFlag
 )
 
 const (
@@ -45,7 +48,7 @@
 	binary.BigEndian.PutUint64(b[10:], f.Revision)
 	binary.BigEndian.PutUint32(b[18:], uint32(min(f.Age.Milliseconds(), 1<<32-1)))
 	binary.BigEndian.PutUint64(b[22:], f.Sum)
-	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag)
+	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag) | flag(f.Replica, replicaFlag)
 	members = members[:min(len(members), MaxMembers)]
 	b[31] = byte(len(members))
 	for i, m := range members {
@@ -74,5 +77,6 @@
 		Sum:           binary.BigEndian.Uint64(b[22:]),
 		Leaving:       b[30]&leavingFlag != 0,
 		Corroborated:  b[30]&corroboratedFlag != 0,
+		Replica:       b[30]&replicaFlag != 0,
 	}, members, true
 }
