--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/connid"
 	"github.com/bergamotgw/bergamotgw/internal/envelope"
 	"github.com/bergamotgw/bergamotgw/internal/routes"
+	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
 )
 
 // socketBufferBytes is the size of the kernel's receive and send buffers.
@@ -64,11 +65,11 @@
 
 // NewBalancer opens the sockets of a balancer.
 func NewBalancer(c Config) (*Balancer, error) {
-	front, err := listen(c.Front)
+	front, err := udpsocket.Listen(c.Front, socketBufferBytes)
 	if err != nil {
 		return nil, merry.Prepend(err, "front")
 	}
-	back, err := listen(c.Back)
+	back, err := udpsocket.Listen(c.Back, socketBufferBytes)
 	if err != nil {
 		_ = front.Close()
 		return nil, merry.Prepend(err, "back")
@@ -114,16 +115,6 @@
 	wg.Wait()
 }
 
-func listen(a netip.AddrPort) (*net.UDPConn, error) {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	_ = c.SetReadBuffer(socketBufferBytes)
-	_ = c.SetWriteBuffer(socketBufferBytes)
-	return c, nil
-}
-
 func localAddr(c *net.UDPConn) netip.AddrPort {
 	a := c.LocalAddr().(*net.UDPAddr).AddrPort()
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -19,6 +19,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
+	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
 )
 
 // Sizes of datagrams and buffers.
@@ -128,11 +129,11 @@
 
 // NewAgent opens the sockets of an agent.
 func NewAgent(c Config) (*Agent, error) {
-	relay, err := listen(c.Relay)
+	relay, err := udpsocket.Listen(c.Relay, socketBufferBytes)
 	if err != nil {
 		return nil, merry.Prepend(err, "relay")
 	}
-	outbound, err := listen(c.Outbound)
+	outbound, err := udpsocket.Listen(c.Outbound, socketBufferBytes)
 	if err != nil {
 		_ = relay.Close()
 		return nil, merry.Prepend(err, "outbound")
@@ -174,14 +175,6 @@
 	}
 }
 
-func listen(a netip.AddrPort) (*net.UDPConn, error) {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	return c, merry.Wrap(c.SetReadBuffer(socketBufferBytes))
-}
-
 // Run carries packets until the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -19,6 +19,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/selection"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
+	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
 )
 
 // Bounds of the cache and of the work at intervals.
@@ -35,7 +36,7 @@
 	freshReport = 250 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is read.
 	maxDatagramBytes = 2048
-	// socketBufferBytes is the size of the kernel's receive buffers.
+	// socketBufferBytes is the size of the kernel's buffers.
 	socketBufferBytes = 1 << 20
 )
 
@@ -124,11 +125,11 @@
 
 // NewBalancer opens the sockets of a balancer.
 func NewBalancer(c Config) (*Balancer, error) {
-	front, err := listen(c.Front)
+	front, err := udpsocket.Listen(c.Front, socketBufferBytes)
 	if err != nil {
 		return nil, merry.Prepend(err, "front")
 	}
-	back, err := listen(c.Back)
+	back, err := udpsocket.Listen(c.Back, socketBufferBytes)
 	if err != nil {
 		_ = front.Close()
 		return nil, merry.Prepend(err, "back")
@@ -159,14 +160,6 @@
 	}
 }
 
-func listen(a netip.AddrPort) (*net.UDPConn, error) {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	return c, merry.Wrap(c.SetReadBuffer(socketBufferBytes))
-}
-
 // Run forwards until the context ends.
 func (b *Balancer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
