--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -83,6 +83,8 @@
 	members map[netip.AddrPort]time.Time
 	// fetching holds the balancers that are being asked for their catalog.
 	fetching map[netip.AddrPort]bool
+	// fetchedAt is when a replica last began to fetch, or was started.
+	fetchedAt time.Time
 	// readFailed is when the platform was lost; zero while it answers.
 	readFailed time.Time
 	// lapsed holds servers by ID that are no longer listed since a short time.
@@ -115,6 +117,7 @@
 		fetching: make(map[netip.AddrPort]bool),
 		lapsed:   make(map[string]Lapsed),
 	}
+	d.fetchedAt = d.started
 	d.catalog.Store(catalog.NewCatalog())
 	rpc.Handle(d.server, catalogMethod, d.serveCatalog)
 	for _, s := range c.Seeds {
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -92,7 +92,7 @@
 			delete(d.members, a)
 		}
 	}
-	all := lo.Keys(d.members)
+	all := lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, heard time.Time) bool { return d.tells(heard, now) }))
 	if len(all) > maxDigests {
 		return lo.Samples(all, maxDigests)
 	}
@@ -113,7 +113,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.members[from] = now
-	if f.Leaving {
+	if d.config.Replica {
+		members = nil
+	} else if f.Leaving {
 		delete(d.members, from)
 	}
 	for _, m := range members {
@@ -129,7 +131,7 @@
 	newer := f.ConfigVersion > c.Routes.Version ||
 		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-settle))
 	d.othersKnow = d.othersKnow || f.Corroborated
-	if newer || f.Corroborated && !d.knows() {
+	if (newer || f.Corroborated && !d.knows()) && d.mayFetch(now) {
 		d.startFetch(ctx, from, d.config.PeerPort)
 	}
 }
