--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -312,3 +312,26 @@
 		t.Errorf("%d readings by the replica, want none", n)
 	}
 }
+
+// TestReplicaAfterPowerLoss checks that a replica leaves balancers alone while
+// servers register again one after the other.
+func TestReplicaAfterPowerLoss(t *testing.T) {
+	f := newFleet(t)
+	f.store.address = netip.MustParseAddr("127.0.0.9")
+	f.store.publish(1, 1, "a")
+	for n := range byte(3) {
+		f.start(n + 1)
+	}
+	replica, _ := f.run(9, true)
+	started := time.Now()
+	ids := []string{"a"}
+	for n := range uint64(12) {
+		time.Sleep(readInterval / 2)
+		ids = append(ids, string(rune('b'+n)))
+		f.store.publish(1, 2+n, ids...)
+	}
+	await(t, replica, 1, 2, replicaBound)
+	if got, most := int(replica.Counts().Fetches.Load()), int(time.Since(started)/replicaInterval); got > most {
+		t.Errorf("%d fetches in %v, want at most %d", got, time.Since(started), most)
+	}
+}
