Give each search a list of its own

Cause: found by reading. Searches run in the task that reads callers and in the one that reads the fleet; both used one scratch list of silent agents after they had released its lock, so copies could go to agents of another search. The race detector shows it in TestSearchesOfTwoTasks before, and nothing after. A notice that ends a search now changes the cached entry in one step. Searching and the handling of silent agents moved to files of their own.

--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
@@ -13,14 +12,6 @@
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
-const (
-	// maxAttempts bounds the count of searches for one flow.
-	maxAttempts = 250
-	// notHeldFor is how long an agent that did not hold a flow is not asked for it
-	// again; callers repeat a packet every 0.2 to 1.6 s.
-	notHeldFor = 5 * time.Second
-)
-
 // readFront forwards packets of callers.
 func (b *Balancer) readFront() {
 	for {
@@ -134,79 +125,6 @@
 	b.send(&e, buf)
 }
 
-// search looks for the agent of an unknown flow. What an earlier search has found
-// out still holds: agents that did not hold the flow are not asked again for a
-// while, and if no other may hold it, the caller is told.
-func (b *Balancer) search(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, at place) {
-	if !at.notHeld || b.config.Clock.Since(at.searched) > notHeldFor {
-		at.searched = time.Time{}
-	}
-	gone := b.walk(buf, flow, route, steer.Envelope{Attempt: at.attempts, List: at.list}, at)
-	if gone && !p.Reset {
-		b.counts.Lost.Add(1)
-		b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", at.attempts).Send()
-		b.reset(flow, p.AckSeq)
-	}
-}
-
-// walk sends a packet of an unknown flow past a page of the agents that may
-// hold it. search tells attempt, page, and the list of the page before, and at
-// what is known from earlier searches. gone is true if nobody is left to be asked.
-func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, search steer.Envelope, at place) (gone bool) {
-	now := b.config.Clock.Now()
-	e := b.envelope(route)
-	e.Attempt, e.Page, e.List, e.Partial = search.Attempt, search.Page, search.List, search.Partial
-	corroborated, alone := b.config.Corroborated(), b.config.Alone()
-	b.mu.Lock()
-	b.selection.Read(b.config.ReadAt())
-	hash := b.selection.Hash(flow)
-	services := route.Services(hash)
-	e.Service = catalog.ServiceID(services[0])
-	restarted := alone && b.selection.AllFresh(services)
-	e.Partial = e.Partial || !corroborated && !restarted
-	var asked time.Time
-	if e.Page == 0 {
-		asked = b.selection.AskedSince(at.searched, at.list, services, now)
-	}
-	b.aside = b.selection.Walk(&e, b.aside[:0], hash, services, asked, now)
-	aside := b.aside
-	b.mu.Unlock()
-	if int(e.Count)+len(aside) == 0 {
-		if asked.IsZero() {
-			b.counts.NoServer.Add(1)
-		}
-		return e.Complete && !asked.IsZero()
-	}
-	b.counts.Walks.Add(1)
-	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", e.Attempt).Uint8("page", e.Page).
-		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Bool("again", !asked.IsZero()).Send()
-	next := place{attempts: min(e.Attempt+1, maxAttempts), searched: now, list: e.List}
-	switch {
-	case !asked.IsZero():
-		next.searched, next.notHeld = asked, true
-	case e.Page > 0:
-		next.searched = at.searched
-	}
-	b.cache.Put(flow, next)
-	b.copyAside(e, aside, buf)
-	switch {
-	case e.Count > 0:
-		b.send(&e, buf)
-	case e.More:
-		e.Page++
-		return b.walk(buf, flow, route, e, next)
-	}
-	return false
-}
-
-// copyAside sends a copy of a packet to each agent that is passed over.
-func (b *Balancer) copyAside(e steer.Envelope, aside []steer.Candidate, buf []byte) {
-	for _, c := range aside {
-		e.Count, e.Complete, e.More, e.Aside, e.Candidates[0] = 1, false, false, true, c
-		b.send(&e, buf)
-	}
-}
-
 // send puts the envelope in front of the packet and sends both.
 func (b *Balancer) send(e *steer.Envelope, buf []byte) {
 	start := steer.MaxLen - e.Len()
@@ -277,66 +195,3 @@
 		b.cache.Put(flow, place{agent: from})
 	}
 }
-
-// handleReturn searches the agent for a packet that went to the wrong one.
-func (b *Balancer) handleReturn(raw []byte, from netip.AddrPort) {
-	var e steer.Envelope
-	rest, ok := e.Parse(raw)
-	if !ok {
-		b.counts.Malformed.Add(1)
-		return
-	}
-	p, ok := b.config.Codec.Parse(rest)
-	if !ok {
-		b.counts.Malformed.Add(1)
-		return
-	}
-	b.counts.Returned.Add(1)
-	flow := p.SentFlow()
-	route, ok := b.config.Catalog().Route(flow.Service())
-	if !ok {
-		b.counts.NoRoute.Add(1)
-		return
-	}
-	buf := make([]byte, steer.MaxLen+len(rest))
-	copy(buf[steer.MaxLen:], rest)
-	if e.More {
-		e.Page++
-		at, _ := b.cache.Get(flow)
-		b.walk(buf, flow, route, e, at)
-		return
-	}
-	b.forwardReturned(buf, p, flow, route, from)
-}
-
-// forwardReturned sends a packet that came back from an agent to where the flow
-// was found since, or in search of it.
-func (b *Balancer) forwardReturned(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, from netip.AddrPort) {
-	at, _ := b.cache.Get(flow)
-	if !at.agent.IsValid() || at.agent == from {
-		b.search(buf, p, flow, route, at)
-		return
-	}
-	e := b.envelope(route)
-	e.Cached = true
-	e.Service = route.SelectID(func() uint64 { return b.selection.Hash(flow) })
-	e.Append(steer.Candidate{Agent: at.agent})
-	b.send(&e, buf)
-}
-
-// handleLost notes that no agent holds a flow, unless it was found or placed since
-// the search began.
-func (b *Balancer) handleLost(raw []byte) {
-	n, ok := steer.ParseLost(raw)
-	if !ok {
-		b.counts.Malformed.Add(1)
-		return
-	}
-	b.counts.Lost.Add(1)
-	b.config.Log.Info("flowNotFound").Stringer("flow", n.Flow).Bool("allAsked", n.Complete).Send()
-	at, ok := b.cache.Get(n.Flow)
-	if ok && n.Searched && !at.agent.IsValid() && at.attempts == n.Attempt+1 && at.list == n.List {
-		at.notHeld = true
-		b.cache.Put(n.Flow, at)
-	}
-}
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -96,8 +96,6 @@
 	selection *selection.Selection
 	// cutOffSince is when most agents stopped answering; zero if they answer.
 	cutOffSince time.Time
-	// aside is scratch space of walk.
-	aside []steer.Candidate
 }
 
 // place is what the cache holds of a flow.
--- a/internal/packetbalancer/search_test.go
+++ b/internal/packetbalancer/search_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/lo"
@@ -105,3 +107,34 @@
 		t.Errorf("the search began at %d other agents, want 1", asked)
 	}
 }
+
+// TestSearchesOfTwoTasks lets the task of callers and that of the fleet search at
+// the same time, past silent agents; the race detector watches.
+func TestSearchesOfTwoTasks(t *testing.T) {
+	x, _, agent := newBenchBalancer(t, 40)
+	x.wire.ToFleet = func([]byte, netip.AddrPort) error { return nil }
+	x.PingAgents()
+	time.Sleep(200 * time.Millisecond)
+	const searches = 200
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := range searches {
+			_, raw := flowPacket(n, 100)
+			x.FromCaller(raw)
+		}
+	})
+	wg.Go(func() {
+		for n := range searches {
+			_, raw := flowPacket(searches+n, 100)
+			e := steer.Envelope{Kind: steer.Return, Balancer: agent, Best: steer.NoBest, More: true}
+			e.Append(steer.Candidate{Agent: agent})
+			returned := make([]byte, e.Len(), e.Len()+len(raw))
+			e.Put(returned)
+			x.handleReturn(append(returned, raw...), agent)
+		}
+	})
+	wg.Wait()
+	if n := x.Counts().Walks.Load(); n < 2*searches {
+		t.Errorf("%d searches, want at least %d", n, 2*searches)
+	}
+}
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -42,6 +42,20 @@
 	m.young[key] = value
 }
 
+// Update replaces a stored value by what change makes of it, unless none is stored.
+func (m *Map[K, V]) Update(key K, change func(V) V) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.turn()
+	v, ok := m.young[key]
+	if !ok {
+		v, ok = m.old[key]
+	}
+	if ok {
+		m.young[key] = change(v)
+	}
+}
+
 // Get returns a stored value.
 func (m *Map[K, V]) Get(key K) (V, bool) {
 	m.mu.Lock()
--- a/internal/recent/recent_test.go
+++ b/internal/recent/recent_test.go
@@ -24,3 +24,20 @@
 		t.Error("idle is still there")
 	}
 }
+
+// TestUpdate checks that only stored values are changed.
+func TestUpdate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := NewMap[string, int](clock, time.Minute, 100)
+	m.Put("stored", 1)
+	clock.Advance(time.Minute)
+	for _, key := range []string{"stored", "other"} {
+		m.Update(key, func(v int) int { return v + 1 })
+	}
+	if v, ok := m.Get("stored"); !ok || v != 2 {
+		t.Errorf("stored: %d %t, want 2", v, ok)
+	}
+	if _, ok := m.Get("other"); ok {
+		t.Error("a value was stored")
+	}
+}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -260,50 +260,6 @@
 	s.read = at
 }
 
-// Lost returns the agents that do not answer and whose servers hold no flow any
-// more. It returns none while the balancer itself is cut off.
-func (s *Selection) Lost(now time.Time) map[netip.AddrPort]bool {
-	lost := make(map[netip.AddrPort]bool)
-	if s.CutOff(now) {
-		s.cutOffAt = now
-		return lost
-	}
-	for address, a := range s.agents {
-		if a.suspect(now) && !s.mayHideFlow(a, now) {
-			lost[address] = true
-		}
-	}
-	return lost
-}
-
-// CutOff reports whether more than half of the agents of listed servers do not
-// answer: then others are likely to reach them better.
-func (s *Selection) CutOff(now time.Time) bool {
-	listed, silent := 0, 0
-	for _, a := range s.agents {
-		if !a.Missing.IsZero() {
-			continue
-		}
-		listed++
-		if a.suspect(now) {
-			silent++
-		}
-	}
-	return 2*silent > listed
-}
-
-// Stale returns the agents to ask for a report: those whose latest is older than
-// the given time, and those that do not answer.
-func (s *Selection) Stale(since, now time.Time) []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, a := range s.agents {
-		if a.Heard.Before(since) || a.suspect(now) {
-			list = append(list, a.Address)
-		}
-	}
-	return list
-}
-
 // Turned calls changed for each agent that has stopped or started to answer
 // since the last call.
 func (s *Selection) Turned(now time.Time, changed func(a Agent, silent bool)) {
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -7,7 +7,6 @@
 
 	"github.com/samber/lo"
 
-	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -104,25 +103,6 @@
 	}
 }
 
-// mayHideFlow reports whether the server of an agent that does not answer may
-// live and hold flows.
-func (s *Selection) mayHideFlow(a *Agent, now time.Time) bool {
-	return a.suspect(now) && !a.left() && !s.silentForLong(a, now) && s.missing(a) < goneAfter
-}
-
-// silentForLong reports whether an agent has answered nothing for so long that its
-// server cannot be reached either. Only the time counts in which the balancer
-// reached most others.
-func (s *Selection) silentForLong(a *Agent, now time.Time) bool {
-	return now.Sub(a.Asked) > lostAfter && now.Sub(s.cutOffAt) > lostAfter
-}
-
-// left reports whether the server of an agent that does not answer has stopped as
-// planned.
-func (a *Agent) left() bool {
-	return a.Server.State == catalog.Draining && !a.Missing.IsZero()
-}
-
 // AllFresh reports whether every listed server of the services had just started
 // when it was first listed here, as after a loss of power: flows that it does not
 // know are older than it.
