--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -94,6 +94,7 @@
 	return d.justStarted()
 }
 
+// justStarted is starting for a caller that holds the lock.
 func (d *Directory) justStarted() bool {
 	return !d.firstReadAt.IsZero() && !d.told && d.config.Clock.Since(d.firstReadAt) < readInterval
 }
