--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -48,21 +48,30 @@
 	l.balancers[i].stop()
 }
 
-// RestartAgent ends an agent whose server lives, and starts it again.
+// RestartAgent ends an agent whose server lives, and starts it again unless its VM
+// is gone by then.
 func (l *Lab) RestartAgent(i int, down time.Duration) {
 	s := l.servers[i]
 	s.stopAgent()
-	l.after(down, s.startAgent)
+	l.after(down, func() {
+		if s.up {
+			s.startAgent()
+		}
+	})
 }
 
 // CrashServer ends a server; it starts again after the given time under a new
-// entry, and its former entry lapses.
+// entry, unless its VM is gone by then, and its former entry lapses.
 func (l *Lab) CrashServer(i int, down time.Duration) {
 	s := l.servers[i]
 	former := s.entryID()
 	s.crash()
 	l.after(lapseAfter, func() { l.platform.remove(l, former) })
-	l.after(down, s.startServer)
+	l.after(down, func() {
+		if s.up {
+			s.startServer()
+		}
+	})
 }
 
 // LoseServer ends the VM of a server for good; its entry lapses.
