Count no time in which the platform could not be read as missing

Entries lapsed in two outages 0.6 s apart, and a balancer could not read in between. It counted the second outage as time in which the server was missing, took it for gone while its agent restarted, and reset its flow. Missing now counts from the first reading after a gap.

--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -214,6 +214,7 @@
 	steer.PutPing(ping[:])
 	now := b.config.Clock.Now()
 	b.mu.Lock()
+	b.selection.Read(b.config.ReadAt())
 	b.selection.Turned(now, b.logTurn)
 	lost := b.selection.Lost(now)
 	b.noteCutOff(now)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -37,6 +37,9 @@
 	// list to count as gone, with all its flows: entries of live servers are back
 	// within 2 s of an outage.
 	goneAfter = 2500 * time.Millisecond
+	// readGap is the pause between readings after which the platform counts as having
+	// been away; readers take turns of at most 0.7 s, and 0.4 s more for a lost one.
+	readGap = 1500 * time.Millisecond
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
@@ -90,8 +93,9 @@
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
-	// read is when the list of servers was last read.
-	read time.Time
+	// read is when the list of servers was last read, and resumed when it first was
+	// after a time in which it could not be.
+	read, resumed time.Time
 	// listed grows whenever an agent is added or removed.
 	listed uint16
 	// emptySince holds when the last usable server of a service was lost.
@@ -247,16 +251,24 @@
 }
 
 // missing returns how long the platform has been seen not to list the server of
-// an agent. While the platform cannot be read, nobody can tell.
+// an agent. While the platform cannot be read, nobody can tell, and entries that
+// lapsed then return some time after.
 func (s *Selection) missing(a *Agent) time.Duration {
 	if a.Missing.IsZero() {
 		return 0
 	}
-	return s.read.Sub(a.Missing)
+	since := a.Missing
+	if s.resumed.After(since) {
+		since = s.resumed
+	}
+	return s.read.Sub(since)
 }
 
 // Read notes when the list of servers was last read, here or elsewhere.
 func (s *Selection) Read(at time.Time) {
+	if at.Sub(s.read) > readGap {
+		s.resumed = at
+	}
 	s.read = at
 }
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -20,6 +20,8 @@
 const (
 	testPort   = 7001
 	testRetain = 60 * time.Second
+	// testReadInterval is the pause between readings while a script waits.
+	testReadInterval = 500 * time.Millisecond
 )
 
 // TestSelection plays what a balancer learns and prints what it selects.
@@ -52,7 +54,17 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				now = now.Add(wait)
+				for ; wait > 0; wait -= testReadInterval {
+					now = now.Add(min(wait, testReadInterval))
+					s.Read(now)
+				}
+				return ""
+			case "outage":
+				length, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(length)
 				return ""
 			case "cutOff":
 				return strconv.FormatBool(s.CutOff(now))
