Ask only agents in use and a sample, and report within a budget

Cause: every balancer asked every agent that was quiet for 250 ms, and every agent told each change to every balancer heard lately: 59 x 136 pairs on the large site. Ruled out: longer intervals alone, which let a dead agent go unnoticed at small sizes.

A balancer now asks the agents of its own zone (32 at most), a sample of 16, and those that it sent a packet within 2 s, at most 100 times a second; agents send at most 100 reports of a changed load a second. While flows are searched all agents are asked, 24 in each round. Most candidates of a flow are of the caller's zone. A search visits twice as many likely holders first, in each attempt.

--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -14,8 +14,11 @@
 const (
 	// MaintainInterval is the pause between rounds.
 	MaintainInterval = 50 * time.Millisecond
-	// reportInterval is the pause between reports of a changed load.
+	// reportInterval is the least pause between reports of a changed load.
 	reportInterval = 100 * time.Millisecond
+	// reportPause is the pause for each balancer that they go to: 100 reports a second
+	// are sent whatever the number of balancers.
+	reportPause = 10 * time.Millisecond
 	// listenFor is how long a balancer gets reports after its latest message.
 	listenFor = 2 * time.Second
 	// sweepInterval is the pause between sweeps of the table.
@@ -123,11 +126,13 @@
 // reportChange tells the balancers that sent something lately when the number
 // of requests or the state has changed.
 func (a *Agent) reportChange(now time.Time) {
-	if now.Sub(a.reportedAt) < reportInterval {
+	elapsed := now.Sub(a.reportedAt)
+	if elapsed < reportInterval {
 		return
 	}
 	l := a.load(now)
-	if l.Outstanding == a.reported.Outstanding && l.State == a.reported.State {
+	due := elapsed >= time.Duration(len(a.listeners))*reportPause
+	if l.State == a.reported.State && (!due || l.Outstanding == a.reported.Outstanding) {
 		return
 	}
 	a.reportAll(l, now)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -59,6 +59,7 @@
 		b.cached.Cached = true
 		b.cached.Service = route.SelectID(func() uint64 { return b.selection.Hash(flow) })
 		b.cached.Append(steer.Candidate{Agent: at.agent})
+		b.used.add(at.agent)
 		b.send(&b.cached, buf)
 		return
 	}
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -32,8 +32,6 @@
 	// cutOffAfter is how long most agents must not answer before the balancer counts
 	// as cut off: a lost datagram or a busy moment takes less.
 	cutOffAfter = 300 * time.Millisecond
-	// freshReport is the age of a report after which an agent that answers is pinged.
-	freshReport = 250 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is read.
 	maxDatagramBytes = 2048
 	// socketBufferBytes is the size of the kernel's buffers.
@@ -88,6 +86,8 @@
 	lost atomic.Pointer[map[netip.AddrPort]bool]
 	// packets counts the packets of callers.
 	packets atomic.Uint64
+	// used holds the agents that packets of known flows went to.
+	used agentSet
 
 	// cutOff is whether the balancer has not reached most agents for some time.
 	cutOff atomic.Bool
@@ -218,13 +218,14 @@
 	b.selection.Turned(now, b.logTurn)
 	lost := b.selection.Lost(now)
 	b.noteCutOff(now)
-	stale := b.selection.Stale(now.Add(-freshReport), now)
-	for _, a := range stale {
+	b.used.take(func(a netip.AddrPort) { b.selection.Used(a, now) })
+	due := b.selection.Due(now)
+	for _, a := range due {
 		b.selection.Asked(a, now)
 	}
 	b.mu.Unlock()
 	b.lost.Store(&lost)
-	for _, a := range stale {
+	for _, a := range due {
 		b.Send(ping[:], a)
 	}
 }
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -28,8 +28,8 @@
 	} else if _, ok := s.emptySince[service]; !ok {
 		s.emptySince[service] = now
 	}
-	s.sort(func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	s.scored = s.scored[:min(len(s.scored), ranked)]
+	s.sort(byScore)
+	s.scored = s.scored[:s.nearFirst(s.scored, rankedNear, ranked)]
 	perFlow := s.requestsPerFlow()
 	for i := range s.scored {
 		c := &s.scored[i]
@@ -46,7 +46,7 @@
 func (s *Selection) delay(a *Agent, class steer.Class, perFlow float64, now time.Time) float64 {
 	service := a.service(now)
 	slots := float64(max(a.Server.Slots, 1))
-	waiting := float64(a.Load.Outstanding) + float64(a.Placed) + 1 - slots
+	waiting := float64(a.outstanding(now)) + 1 - slots
 	delay := service
 	if waiting > 0 {
 		delay += waiting * service / slots
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -17,9 +17,11 @@
 const (
 	// MaxChoices is how many agents a new flow is offered to at most.
 	MaxChoices = 5
-	// ranked is how many agents, by rank of the flow, are compared by load; the
-	// holder of an unknown flow is searched in the same order.
+	// ranked is how many agents, by rank of the flow, are compared by load.
 	ranked = 8
+	// rankedNear is how many of them are of the balancer's own zone, if it has as many;
+	// the others take what the zone cannot carry.
+	rankedNear = 5
 	// localShare is the part of the response-time objective that a place in the
 	// caller's zone may cost.
 	localShare = 0.04
@@ -71,6 +73,8 @@
 	Returned time.Time
 	// Placed counts the flows placed since the latest report.
 	Placed int
+	// Used is when the balancer last sent it a packet of a caller; zero if never.
+	Used time.Time
 	// Missing is when the server was first missing from the list; zero if listed.
 	Missing time.Time
 
@@ -81,6 +85,13 @@
 	fresh bool
 	// wasSuspect is what Turned last returned.
 	wasSuspect bool
+	// watched is whether the agent is asked for reports although it is not used.
+	watched bool
+	// probe is whether the agent is in the sample that tells whether the balancer
+	// reaches the others.
+	probe bool
+	// pinged is when it was last asked for a report.
+	pinged time.Time
 }
 
 // Selection keeps the agents of all services. It is not safe for concurrent use.
@@ -90,6 +101,10 @@
 	retain  time.Duration
 	started time.Time
 	ranker  rendezvous.Ranker
+	// key ranks the agents for this balancer.
+	key uint64
+	// searched is when agents were last searched for the holder of a flow.
+	searched time.Time
 	// agents holds listed servers, and unlisted ones for the retention period.
 	agents    map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
@@ -114,13 +129,15 @@
 // listen at the given port, and are remembered for the retention period after
 // their server was last listed. started is when the balancer started.
 func NewSelection(zone string, agentPort uint16, retain time.Duration, started time.Time) *Selection {
+	ranker := rendezvous.NewRanker(nil)
 	return &Selection{
+		key:        ranker.Hash(started.AppendFormat([]byte(zone), time.RFC3339Nano)),
 		emptySince: make(map[string]time.Time),
 		zone:       zone,
 		port:       agentPort,
 		retain:     retain,
 		started:    started,
-		ranker:     rendezvous.NewRanker(nil),
+		ranker:     ranker,
 		agents:     make(map[netip.AddrPort]*Agent),
 		byService:  make(map[string][]*Agent),
 	}
@@ -197,6 +214,7 @@
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Agent) int { return a.Address.Compare(b.Address) })
 	}
+	s.watch()
 }
 
 // Heard takes a report. Reports of unknown agents are ignored.
@@ -211,7 +229,14 @@
 
 // Asked notes a message to an agent that it answers with a report.
 func (s *Selection) Asked(address netip.AddrPort, now time.Time) {
-	if a := s.agents[address]; a != nil && a.Asked.IsZero() {
+	if a := s.agents[address]; a != nil {
+		a.ask(now)
+	}
+}
+
+func (a *Agent) ask(now time.Time) {
+	a.pinged = now
+	if a.Asked.IsZero() {
 		a.Asked = now
 	}
 }
@@ -220,7 +245,17 @@
 func (s *Selection) Placed(address netip.AddrPort, now time.Time) {
 	if a := s.agents[address]; a != nil {
 		a.Placed++
-		s.Asked(address, now)
+		a.Used = now
+		if a.Asked.IsZero() {
+			a.Asked = now
+		}
+	}
+}
+
+// Used notes that packets of known flows were sent to an agent.
+func (s *Selection) Used(address netip.AddrPort, now time.Time) {
+	if a := s.agents[address]; a != nil {
+		a.Used = now
 	}
 }
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -66,6 +66,13 @@
 				}
 				now = now.Add(length)
 				return ""
+			case "used":
+				s.Used(serverAddress(d.CmdArgs[0].Key), now)
+				return ""
+			case "due":
+				return due(t, d, s, now)
+			case "choices":
+				return choices(s, now)
 			case "cutOff":
 				return strconv.FormatBool(s.CutOff(now))
 			case "lost":
@@ -76,6 +83,11 @@
 				return spread(t, d, s, now)
 			case "walk":
 				return walk(t, d, s, &latest, now)
+			case "walkZones":
+				_ = walk(t, d, s, &latest, now)
+				return strings.Join(lo.Map(latest.Candidates[:latest.Count], func(c steer.Candidate, _ int) string {
+					return s.Agent(c.Agent).Server.Zone
+				}), "")
 			case "allFresh":
 				return strconv.FormatBool(s.AllFresh([]string{"pass"}))
 			case "hopeless":
@@ -160,6 +172,33 @@
 	return l
 }
 
+// due prints how many agents are asked in a round, or whether a given one is. With
+// "answer" they all report at once.
+func due(t *testing.T, d *datadriven.TestData, s *Selection, now time.Time) string {
+	list := s.Due(now)
+	for _, a := range list {
+		s.Asked(a, now)
+		if d.HasArg("answer") {
+			s.Heard(a, steer.Load{}, now)
+		}
+	}
+	one := ""
+	if d.MaybeScanArgs(t, "server", &one); one != "" {
+		return strconv.FormatBool(slices.Contains(list, serverAddress(one)))
+	}
+	return fmt.Sprintf("%d agents", len(list))
+}
+
+// choices prints how many agents of each zone are compared and offered for a flow.
+func choices(s *Selection, now time.Time) string {
+	var e steer.Envelope
+	s.Choices(&e, s.Hash(packet.Flow{CallerPort: 1}), "pass", now)
+	zones := lo.CountValuesBy(s.scored, func(c scored) string { return c.agent.Server.Zone })
+	keys := lo.Keys(zones)
+	slices.Sort(keys)
+	return strings.Join(lo.Map(keys, func(z string, _ int) string { return fmt.Sprintf("%s:%d", z, zones[z]) }), " ")
+}
+
 // spread places flows and prints how many go to each server first.
 func spread(t *testing.T, d *datadriven.TestData, s *Selection, now time.Time) string {
 	flows := 100
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -24,31 +24,39 @@
 }
 
 // CutOff reports whether more than half of the agents of listed servers do not
-// answer: then others are likely to reach them better.
+// answer: then others are likely to reach them better. It is judged by a sample of
+// all agents, and by all that are asked, so that the loss of one zone is not taken
+// for it.
 func (s *Selection) CutOff(now time.Time) bool {
-	listed, silent := 0, 0
+	var sample, asked ratio
 	for _, a := range s.agents {
 		if !a.Missing.IsZero() {
 			continue
 		}
-		listed++
-		if a.suspect(now) {
-			silent++
+		if a.probe {
+			sample.add(a.suspect(now))
+		}
+		if a.suspect(now) || now.Sub(a.Heard) < usedFor {
+			asked.add(a.suspect(now))
 		}
 	}
-	return 2*silent > listed
+	return sample.most() && asked.most()
 }
 
-// Stale returns the agents to ask for a report: those whose latest is older than
-// the given time, and those that do not answer.
-func (s *Selection) Stale(since, now time.Time) []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, a := range s.agents {
-		if a.Heard.Before(since) || a.suspect(now) {
-			list = append(list, a.Address)
-		}
+// ratio counts agents, and those of them that do not answer.
+type ratio struct {
+	all, silent int
+}
+
+func (r *ratio) add(silent bool) {
+	r.all++
+	if silent {
+		r.silent++
 	}
-	return list
+}
+
+func (r *ratio) most() bool {
+	return 2*r.silent > r.all
 }
 
 // mayHideFlow reports whether the server of an agent that does not answer may
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -27,8 +27,9 @@
 				s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
 			}
 		}
-		s.orderWalk(s.scored[first:])
+		s.orderWalk(s.scored[first:], e.Attempt)
 	}
+	s.searched = now
 	if fansOut(e.Attempt) && len(s.scored) > 0 {
 		for _, c := range s.scored {
 			aside = append(aside, candidate(c.agent))
@@ -44,11 +45,7 @@
 	e.Complete = !e.More && !e.Partial
 	e.List = s.listed
 	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
-		at := (i + int(e.Attempt)/2*attemptStep) % n
-		if e.Attempt%2 == 1 {
-			at = n - 1 - at
-		}
-		if a := s.scored[at].agent; a.suspect(now) {
+		if a := s.scored[i].agent; a.suspect(now) {
 			aside = append(aside, candidate(a))
 		} else {
 			e.Append(candidate(a))
@@ -79,13 +76,34 @@
 	return a.suspect(now) || a.Returned.After(began)
 }
 
-// orderWalk sorts the agents of a service: first those that a flow of this hash is
-// offered to, then the others, each part zone by zone.
-func (s *Selection) orderWalk(list []scored) {
-	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	likely := min(len(list), ranked)
-	slices.SortStableFunc(list[:likely], s.compareZones)
-	slices.SortStableFunc(list[likely:], s.compareZones)
+// orderWalk sorts the agents of a service: first those that a flow of this hash may
+// have been offered to, also if the list has changed since, then the others, each part
+// zone by zone.
+func (s *Selection) orderWalk(list []scored, attempt uint8) {
+	slices.SortStableFunc(list, byScore)
+	likely := s.nearFirst(list, likelyFactor*rankedNear, likelyFactor*ranked)
+	for _, part := range [][]scored{list[:likely], list[likely:]} {
+		slices.SortStableFunc(part, s.compareZones)
+		vary(part, attempt)
+	}
+}
+
+// likelyFactor is how many times the agents that a flow is offered to come first in a
+// search: since the flow was placed, as many may have joined the list or left it.
+const likelyFactor = 2
+
+// vary lets each attempt begin elsewhere, and each second one go the other way round.
+func vary(part []scored, attempt uint8) {
+	if len(part) == 0 {
+		return
+	}
+	first := int(attempt) / 2 * attemptStep % len(part)
+	slices.Reverse(part[:first])
+	slices.Reverse(part[first:])
+	slices.Reverse(part)
+	if attempt%2 == 1 {
+		slices.Reverse(part)
+	}
 }
 
 // compareZones puts the balancer's own zone first.
--- /dev/null
+++ b/internal/selection/watch.go
@@ -0,0 +1,128 @@
+package selection
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Bounds of the questions to agents. They keep the messages of a balancer
+// independent of the number of agents.
+const (
+	// nearLimit is how many agents of the own zone are always asked; others only
+	// while they are used.
+	nearLimit = 32
+	// sampleSize is how many agents of all zones tell whether the balancer reaches
+	// the others.
+	sampleSize = 16
+	// usedFor is how long an agent counts as used after the latest packet to it, and
+	// as known after its latest report.
+	usedFor = 2 * time.Second
+	// searchFor is how long after a search all agents are asked: the caller repeats its
+	// packet within 1.6 s.
+	searchFor = 2 * time.Second
+	// freshReport is the least age of a report after which an agent is asked again.
+	freshReport = 250 * time.Millisecond
+	// askPause is the pause between two questions of the balancer to agents that
+	// answer, on average: 100 questions a second take 3 KB.
+	askPause = 10 * time.Millisecond
+	// maxDue bounds the questions of one round, also while many do not answer.
+	maxDue = 24
+)
+
+// watch selects the agents that are asked although they are not used: those nearest
+// to this balancer, and a sample of all.
+func (s *Selection) watch() {
+	s.scored = s.scored[:0]
+	near := 0
+	for _, a := range s.agents {
+		a.watched, a.probe = false, false
+		s.scored = append(s.scored, scored{a, s.ranker.Score(s.key, a.hash, 1)})
+	}
+	s.sort(byScore)
+	for i, c := range s.scored {
+		c.agent.probe = i < sampleSize
+		if c.agent.Server.Zone == s.zone && near < nearLimit {
+			near++
+			c.agent.watched = true
+		}
+	}
+}
+
+// Due returns the agents to ask for a report now, the one whose question is the
+// oldest first: those that do not answer, and those in use whose report is too old.
+// While flows are searched, those not heard lately are due as well.
+func (s *Selection) Due(now time.Time) []netip.AddrPort {
+	inUse := 0
+	for _, a := range s.agents {
+		if a.inUse(now) {
+			inUse++
+		}
+	}
+	fresh := max(freshReport, time.Duration(inUse)*askPause)
+	searching := now.Sub(s.searched) < searchFor
+	s.scored = s.scored[:0]
+	for _, a := range s.agents {
+		age := now.Sub(a.Heard)
+		if a.suspect(now) || a.inUse(now) && age > fresh || searching && age > usedFor {
+			s.scored = append(s.scored, scored{agent: a})
+		}
+	}
+	s.sort(func(a, b scored) int {
+		return cmp.Or(a.agent.pinged.Compare(b.agent.pinged), a.agent.Address.Compare(b.agent.Address))
+	})
+	due := make([]netip.AddrPort, 0, maxDue)
+	for _, c := range s.scored[:min(len(s.scored), maxDue)] {
+		due = append(due, c.agent.Address)
+	}
+	return due
+}
+
+// inUse reports whether the balancer needs to know the load of an agent: it may be
+// chosen soon, holds flows that were used lately, or has told of a fault whose end
+// nobody else would tell.
+func (a *Agent) inUse(now time.Time) bool {
+	return a.watched || a.probe || now.Sub(a.Used) < usedFor || a.Load.State != steer.Up || a.Load.Failures > 0
+}
+
+// outstanding returns the requests that go before a further one. Reports that are
+// older than an agent's requests tell nothing.
+func (a *Agent) outstanding(now time.Time) int {
+	if now.Sub(a.Heard) > usedFor {
+		return a.Placed
+	}
+	return int(a.Load.Outstanding) + a.Placed
+}
+
+// byScore orders by descending score.
+func byScore(a, b scored) int {
+	return cmp.Compare(b.score, a.score)
+}
+
+// nearFirst moves the agents that a flow is offered to, or may have been, to the front
+// of a list in order of score: the first few of the own zone, and of the others as many
+// as are missing from count. It returns how many were moved; the order stays.
+func (s *Selection) nearFirst(list []scored, near, count int) int {
+	own := lo.CountBy(list, func(c scored) bool { return c.agent.Server.Zone == s.zone })
+	far := min(count-min(near, own), len(list)-own)
+	near = min(count-far, own)
+	moved := 0
+	for i, c := range list {
+		left := &far
+		if c.agent.Server.Zone == s.zone {
+			left = &near
+		}
+		if *left == 0 {
+			continue
+		}
+		*left--
+		copy(list[moved+1:i+1], list[moved:i])
+		list[moved] = c
+		moved++
+	}
+	return moved
+}
