Exchange catalogs by delta, and fetch one at a time

Cause: after each change of the configuration every balancer fetched all routes, some 220 KB of JSON at 1,100 routes, often from several others at once, and all from the one that had read them: with a change each 0.33 s the links of 20 Mbit/s and the processors of small balancers were full, and callers' packets waited.

A directory remembers its last 8 catalogs and answers with what has changed since the one that the caller has; a further directory is asked only after 250 ms.

--- /dev/null
+++ b/internal/catalog/delta_test.go
@@ -0,0 +1,93 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+func drawRoutes(t *rapid.T, version uint64) Routes {
+	r := Routes{Version: version, IdleTimeout: time.Duration(version) * time.Second}
+	for _, n := range rapid.SliceOfDistinct(rapid.Uint8Range(0, 20), rapid.ID[uint8]).Draw(t, "routes") {
+		r.List = append(r.List, Route{
+			Name: fmt.Sprint(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 1),
+			Class:  steer.Class{TimeoutMillis: rapid.Uint16Range(1, 3).Draw(t, "timeout")},
+			Shares: []Share{{Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), Weight: 1}},
+		})
+	}
+	return r
+}
+
+func drawServers(t *rapid.T, revision uint64) Servers {
+	var list []Server
+	for _, n := range rapid.SliceOfDistinct(rapid.Uint8Range(0, 20), rapid.ID[uint8]).Draw(t, "servers") {
+		list = append(list, Server{
+			ID: fmt.Sprint(n), Address: netip.AddrFrom4([4]byte{10, 0, 0, n}), Slots: 2,
+			State:  rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"),
+			Warmup: time.Duration(rapid.IntRange(0, 2).Draw(t, "warmup")) * time.Second,
+		})
+	}
+	return NewServers(revision, list)
+}
+
+// carried returns what the other side decodes.
+func carried[T any](t *rapid.T, v T) (got T) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(raw, &got); err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// TestDeltas checks that a delta turns one catalog into the other, and is refused by
+// any that it was not made for.
+func TestDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawRoutes(t, 1), drawRoutes(t, 2)
+		d := carried(t, a.Delta(b))
+		got, ok := a.WithDelta(d)
+		byAddress := func(x, y Route) int { return x.Address.Compare(y.Address) }
+		slices.SortFunc(got.List, byAddress)
+		want := slices.SortedFunc(slices.Values(b.List), byAddress)
+		if !ok || got.Version != 2 || got.IdleTimeout != b.IdleTimeout || !slices.EqualFunc(got.List, want, sameRoute) {
+			t.Fatalf("routes %t %+v, want %+v", ok, got, b)
+		}
+		if _, ok := b.WithDelta(d); ok {
+			t.Fatal("routes took a delta of another version")
+		}
+		x, y := drawServers(t, 1), drawServers(t, 2)
+		e := carried(t, x.Delta(y))
+		servers, ok := x.WithDelta(e)
+		if !ok || servers.Revision != 2 || servers.Sum() != y.Sum() || !slices.Equal(servers.List, y.List) {
+			t.Fatalf("servers %t %+v, want %+v", ok, servers, y)
+		}
+		if _, ok := y.WithDelta(e); ok && x.Sum() != y.Sum() {
+			t.Fatal("servers took a delta of another reading")
+		}
+	})
+}
+
+// TestDeltaOfOneChange checks that the delta of one change in a long list is short.
+func TestDeltaOfOneChange(t *testing.T) {
+	before := Routes{Version: 1}
+	for n := range 1400 {
+		before.List = append(before.List, Route{Name: fmt.Sprint(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)})
+	}
+	after := before
+	after.Version = 2
+	after.List = slices.Clone(before.List)[1:]
+	after.List[500].Class.TimeoutMillis = 7
+	if d := before.Delta(after); len(d.List.Changed) != 1 || len(d.List.Removed) != 1 {
+		t.Errorf("%d changed, %d removed, want 1 and 1", len(d.List.Changed), len(d.List.Removed))
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,11 +78,13 @@
 	firstReadAt, readAt time.Time
 	// sum is the hash of the servers in the catalog.
 	sum uint64
+	// history holds the catalogs that others may still have.
+	history history
 	// members holds when each other balancer was last heard; zero for those that
 	// were only named by others.
 	members map[netip.AddrPort]time.Time
-	// fetching holds the balancers that are being asked for their catalog.
-	fetching map[netip.AddrPort]bool
+	// fetching holds when the fetches under way began, by the directory that is asked.
+	fetching map[netip.AddrPort]time.Time
 	// fetchedAt is when a replica last began to fetch, or was started.
 	fetchedAt time.Time
 	// readFailed is when the platform was lost; zero while it answers.
@@ -103,8 +105,9 @@
 type Counts struct {
 	// Reads and FailedReads count calls to the platform.
 	Reads, FailedReads atomic.Uint64
-	// Fetches counts catalogs taken from other balancers.
-	Fetches atomic.Uint64
+	// Fetches counts answers of other balancers to questions for their catalog, Deltas
+	// those of them in which only what had changed was told.
+	Fetches, Deltas atomic.Uint64
 }
 
 // NewDirectory returns a directory with an empty catalog.
@@ -114,7 +117,7 @@
 		started:  c.Clock.Now(),
 		server:   rpc.NewServer(c.Self.Addr()),
 		members:  make(map[netip.AddrPort]time.Time),
-		fetching: make(map[netip.AddrPort]bool),
+		fetching: make(map[netip.AddrPort]time.Time),
 		lapsed:   make(map[string]Lapsed),
 	}
 	d.fetchedAt = d.started
@@ -163,11 +166,13 @@
 	d.mu.Lock()
 	before := d.catalog.Load()
 	next := before.WithRoutes(r)
-	d.catalog.Store(next)
-	d.mu.Unlock()
 	if next == before {
+		d.mu.Unlock()
 		return
 	}
+	d.catalog.Store(next)
+	d.history.addRoutes(next.Routes)
+	d.mu.Unlock()
 	d.config.Log.Info("routesChanged").Uint64("version", r.Version).
 		Uint64("former", before.Routes.Version).Int("routes", len(r.List)).Str("source", from).Send()
 	d.changed()
@@ -224,6 +229,7 @@
 	d.catalog.Store(next)
 	d.noteLapsed(before.Servers.List, s.List)
 	d.sum = sum
+	d.history.addServers(next.Servers, sum)
 	if at := d.config.Clock.Now().Add(-age); at.After(d.readAt) {
 		d.readAt = at
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -335,3 +336,48 @@
 		t.Errorf("%d fetches in %v, want at most %d", got, time.Since(started), most)
 	}
 }
+
+// TestChangeOfLongConfiguration checks that after a change of one route among many, a
+// balancer gets that route and not the list, and gets it once although several tell it.
+func TestChangeOfLongConfiguration(t *testing.T) {
+	const routes, changes = 1400, 5
+	f := newFleet(t)
+	list := make([]catalog.Route, routes)
+	for n := range list {
+		list[n] = catalog.Route{
+			Name: "idle", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443),
+			Shares: []catalog.Share{{Service: "pass", Weight: 1}},
+		}
+	}
+	publish := func(version uint64) {
+		f.store.publish(version, version, "a")
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		f.store.routes.List = slices.Clone(list[:routes-int(version)])
+	}
+	publish(1)
+	var all []*Directory
+	for n := range byte(4) {
+		all = append(all, f.start(n+1))
+	}
+	for _, d := range all {
+		await(t, d, 1, 1, changeBound)
+	}
+	time.Sleep(2 * digestInterval)
+	last := all[3]
+	received, fetches := last.server.Traffic().Received.Load(), last.counts.Fetches.Load()
+	for version := range uint64(changes) {
+		publish(version + 2)
+		await(t, last, version+2, 1, changeBound)
+	}
+	if got := len(last.Catalog().Routes.List); got != routes-changes-1 {
+		t.Errorf("%d routes, want %d", got, routes-changes-1)
+	}
+	const mostBytes = 2000
+	if n := (last.server.Traffic().Received.Load() - received) / changes; n > mostBytes {
+		t.Errorf("%d bytes for each change, want at most %d", n, mostBytes)
+	}
+	if n := last.counts.Fetches.Load() - fetches; n > 2*changes {
+		t.Errorf("%d fetches for %d changes", n, changes)
+	}
+}
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -31,6 +31,9 @@
 	// settleTime is how long a balancer reads the platform before it has seen all
 	// entries return that lapsed in an outage: they are back within 2 s.
 	settleTime = 3 * time.Second
+	// fetchPatience is how long another directory may take to answer before a further
+	// one is asked as well; an answer takes some round trips.
+	fetchPatience = 250 * time.Millisecond
 	// settle is how much newer another balancer's reading must be to be fetched
 	// although it lists the same servers.
 	settle = 100 * time.Millisecond
@@ -41,13 +44,18 @@
 type catalogParams struct {
 	ConfigVersion uint64 `json:"configVersion"`
 	Revision      uint64 `json:"revision"`
+	// Sum is the hash of the servers that the caller knows.
+	Sum uint64 `json:"sum"`
 }
 
+// catalogResult holds either the whole or a delta of what the caller lacks.
 type catalogResult struct {
-	// Routes is absent if the caller has the same or newer ones.
-	Routes *catalog.Routes `json:"routes,omitempty"`
-	// Servers is absent if the caller has the same or newer ones.
-	Servers *catalog.Servers `json:"servers,omitempty"`
+	// Routes and RoutesDelta are absent if the caller has the same or newer routes.
+	Routes      *catalog.Routes      `json:"routes,omitempty"`
+	RoutesDelta *catalog.RoutesDelta `json:"routesDelta,omitempty"`
+	// Servers and ServersDelta are absent if the caller has the same or newer servers.
+	Servers      *catalog.Servers      `json:"servers,omitempty"`
+	ServersDelta *catalog.ServersDelta `json:"serversDelta,omitempty"`
 	// AgeMillis is the time since the servers were read.
 	AgeMillis int64 `json:"ageMillis"`
 	// Corroborated is true if the balancer knows every server that may live.
@@ -136,13 +144,19 @@
 	}
 }
 
-// startFetch fetches the catalog of another directory, unless that is under way.
+// startFetch fetches the catalog of another directory, unless that is under way there
+// or has just begun elsewhere: after a change many tell it at once.
 // The caller holds the lock.
 func (d *Directory) startFetch(ctx context.Context, from netip.AddrPort, port uint16) {
-	if !d.fetching[from] {
-		d.fetching[from] = true
-		go d.fetch(ctx, from, port)
+	now := d.config.Clock.Now()
+	if _, ok := d.fetching[from]; ok {
+		return
+	}
+	if lo.SomeBy(lo.Values(d.fetching), func(began time.Time) bool { return now.Sub(began) < fetchPatience }) {
+		return
 	}
+	d.fetching[from] = now
+	go d.fetch(ctx, from, port)
 }
 
 // fetch takes what another balancer has newer, and what it knows to have lapsed.
@@ -159,25 +173,53 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	have := d.catalog.Load()
+	have, sum := d.known()
 	asked := d.config.Clock.Now()
-	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision})
+	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{have.Routes.Version, have.Servers.Revision, sum})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
 	}
 	d.counts.Fetches.Add(1)
+	d.takeResult(r, have, asked, from.String())
+	d.takeLapsed(r.Lapsed)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told = d.told || r.Corroborated
+}
+
+// known returns the catalog in force and the sum of its servers.
+func (d *Directory) known() (*catalog.Catalog, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.catalog.Load(), d.sum
+}
+
+// takeResult takes what another directory has newer than the given catalog.
+func (d *Directory) takeResult(r catalogResult, have *catalog.Catalog, asked time.Time, from string) {
+	if r.RoutesDelta != nil {
+		if routes, ok := have.Routes.WithDelta(*r.RoutesDelta); ok {
+			d.counts.Deltas.Add(1)
+			r.Routes = &routes
+		} else {
+			d.config.Log.Warn("deltaRefused").Str("source", from).Uint64("base", r.RoutesDelta.Base).Uint64("version", have.Routes.Version).Send()
+		}
+	}
+	if r.ServersDelta != nil {
+		if servers, ok := have.Servers.WithDelta(*r.ServersDelta); ok {
+			d.counts.Deltas.Add(1)
+			r.Servers = &servers
+		} else {
+			d.config.Log.Warn("deltaRefused").Str("source", from).Uint64("base", r.ServersDelta.Base).Uint64("revision", have.Servers.Revision).Send()
+		}
+	}
 	if r.Routes != nil {
-		d.takeRoutes(*r.Routes, from.String())
+		d.takeRoutes(*r.Routes, from)
 	}
 	if r.Servers != nil {
 		age := time.Duration(r.AgeMillis)*time.Millisecond + d.config.Clock.Since(asked)
-		d.takeServers(*r.Servers, age, from.String())
+		d.takeServers(*r.Servers, age, from)
 	}
-	d.takeLapsed(r.Lapsed)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.told = d.told || r.Corroborated
 }
 
 // takeLapsed remembers what another balancer knows to have lapsed.
@@ -198,22 +240,21 @@
 }
 
 func (d *Directory) serveCatalog(_ context.Context, _ *rpc.Conn, p catalogParams) (catalogResult, error) {
-	c := d.catalog.Load()
 	now := d.config.Clock.Now()
 	var r catalogResult
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.catalog.Load()
 	r.Corroborated = d.knows()
 	for _, l := range d.lapsed {
 		r.Lapsed = append(r.Lapsed, lapsedEntry{l.Server, now.Sub(l.Since).Milliseconds()})
 	}
-	d.mu.Unlock()
 	if c.Routes.Version > p.ConfigVersion {
-		r.Routes = &c.Routes
+		d.history.routesSince(p.ConfigVersion, c.Routes, &r)
 	}
 	if c.Servers.Revision > p.Revision {
-		r.Servers = &c.Servers
-		age, _ := d.Age()
-		r.AgeMillis = age.Milliseconds()
+		d.history.serversSince(p.Sum, c.Servers, &r)
+		r.AgeMillis = now.Sub(d.readAt).Milliseconds()
 	}
 	return r, nil
 }
