Probe at the start whether the server runs

Cause: an agent showed each packet of a flow that it did not know to its server until it had run for 60 s, also when the server had started after it and cannot hold such a flow.

A connection that is refused when the agent starts proves that no server runs, so all flows will pass this agent. Without that proof it asks as before.

--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -71,6 +71,9 @@
 	counts   Counts
 
 	mu sync.Mutex
+	// whole is true once the server is known to hold no flow that did not pass this
+	// process.
+	whole bool
 	// swept is when old entries were last removed.
 	swept   time.Time
 	table   *flowtable.Table
@@ -217,10 +220,18 @@
 	return a.load(a.config.Clock.Now())
 }
 
-// complete reports whether every open flow of the server is in the table: the
-// agent has run for as long as a flow may last.
+// NoteServerDown notes that no server ran at some time since the agent started: a
+// server that runs later holds no flow that did not pass this agent.
+func (a *Agent) NoteServerDown() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.whole = true
+}
+
+// complete reports whether every open flow of the server is in the table: the server
+// has started after the agent, or the agent has run for as long as a flow may last.
 func (a *Agent) complete(now time.Time) bool {
-	return now.Sub(a.started) > a.config.MaxFlow
+	return a.whole || now.Sub(a.started) > a.config.MaxFlow
 }
 
 // Send sends a datagram from the agent's relay address.
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +25,10 @@
 // server's open flows stand still until the agent runs again, so it is short.
 const maxAgentLeave = 400 * time.Millisecond
 
+// probeTimeout bounds the wait for the server on the same VM, which answers or refuses a
+// connection within a millisecond.
+const probeTimeout = 200 * time.Millisecond
+
 // agent is an agent process.
 type agent struct {
 	settings packetsettings.Agent
@@ -79,6 +86,21 @@
 	}
 }
 
+// probeServer finds out whether the server runs yet. Only a refused connection tells
+// that it does not; without an answer the agent goes on as if it did.
+func (a *agent) probeServer(ctx context.Context) {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	c, err := dialer.DialContext(ctx, "tcp4", a.settings.Server.String())
+	if err == nil {
+		_ = c.Close()
+	}
+	down := errors.Is(err, syscall.ECONNREFUSED)
+	if down {
+		a.carry.NoteServerDown()
+	}
+	a.log.Info("serverProbed").Bool("down", down).AnErr("reason", err).Send()
+}
+
 // Run carries packets until the context ends, and then until no request runs.
 func (a *agent) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -90,6 +112,7 @@
 		wg.Go(func() { a.replica.Run(serving) })
 	}
 	wg.Go(func() { serveMetrics(serving, a.metrics, a.settings.Metrics, a.log) })
+	wg.Go(func() { a.probeServer(serving) })
 	a.log.Info("agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
 	<-ctx.Done()
 	a.carry.Leave()
