Derive periods from the bounds of the deployment

Cause: periods such as the 5 s after which a silent agent counts as lost were fixed in code, while the contact bound is 4, 5 and 6 s on the deployments: a VM that paused for 5.5 s within a contact bound of 6 s lost its flows.

The settings carry the bounds for contact, drain, change of routes and reuse of addresses; internal/bounds derives the periods that serve them, with their margins, and a property test checks their order for all bounds that settings may have. Bounds that cannot be kept, and such that contradict each other, are refused at start. Scripts play halved and doubled bounds. The soak's servers now take connections, as the users' do: without that an agent took them for not running (found by the soak).

--- /dev/null
+++ b/internal/bounds/bounds_test.go
@@ -0,0 +1,32 @@
+package bounds
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestPeriodsServeTheirBounds checks the order of every period and the bound that it
+// serves, for all bounds that settings may have.
+func TestPeriodsServeTheirBounds(t *testing.T) {
+	draw := func(t *rapid.T, name string, least time.Duration) time.Duration {
+		return time.Duration(rapid.Int64Range(int64(least), int64(time.Minute)).Draw(t, name))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{
+			Contact: draw(t, "contact", MinContact), Change: draw(t, "change", MinChange),
+			AddressReuse: draw(t, "reuse", MinAddressReuse),
+		}
+		if b.LostAfter() <= b.Contact {
+			t.Errorf("an agent is lost after %v, within the contact bound of %v", b.LostAfter(), b.Contact)
+		}
+		if b.LapseGrace() >= b.AddressReuse || b.LapseGrace() > 2*time.Second {
+			t.Errorf("a server that is not listed stays in use for %v; its address is used again after %v", b.LapseGrace(), b.AddressReuse)
+		}
+		period := time.Duration(rapid.Int64Range(1, int64(DefaultChange)).Draw(t, "period"))
+		if paced := b.Pace(period); paced > period || paced > b.Change {
+			t.Errorf("%v became %v with a bound of %v", period, paced, b.Change)
+		}
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
@@ -41,6 +42,8 @@
 	Zone string
 	// Seeds are addresses of balancers to ask at the start; some may be down.
 	Seeds []netip.Addr
+	// Bounds are those of the deployment.
+	Bounds bounds.Bounds
 	// Source reads the platform.
 	Source Source
 	// Send sends a datagram to another balancer.
@@ -131,6 +134,11 @@
 	return d
 }
 
+// pace returns a period of the exchange as the bounds of the deployment demand it.
+func (d *Directory) pace(period time.Duration) time.Duration {
+	return d.config.Bounds.Pace(period)
+}
+
 // Catalog returns the newest catalog.
 func (d *Directory) Catalog() *catalog.Catalog {
 	return d.catalog.Load()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 )
@@ -108,6 +109,7 @@
 		Replica:     replica,
 		Zone:        "a",
 		Seeds:       []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
+		Bounds:      bounds.Default(),
 		Source:      f.store.source(ip),
 		Send: func(b []byte, to netip.AddrPort) {
 			f.mu.Lock()
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -73,7 +73,7 @@
 func (d *Directory) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.sendDigests()
-		d.sleep(ctx, digestInterval)
+		d.sleep(ctx, d.pace(digestInterval))
 	}
 }
 
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -78,11 +78,11 @@
 	if d.readAt.IsZero() {
 		return 0
 	}
-	interval := readInterval
+	interval := d.pace(readInterval)
 	if d.justStarted() {
 		interval = startReadInterval
 	}
-	due := d.readAt.Add(interval + time.Duration(rank)*rankStep)
+	due := d.readAt.Add(interval + time.Duration(rank)*d.pace(rankStep))
 	return due.Sub(d.config.Clock.Now())
 }
 
@@ -96,7 +96,7 @@
 
 // justStarted is starting for a caller that holds the lock.
 func (d *Directory) justStarted() bool {
-	return !d.firstReadAt.IsZero() && !d.told && d.config.Clock.Since(d.firstReadAt) < readInterval
+	return !d.firstReadAt.IsZero() && !d.told && d.config.Clock.Since(d.firstReadAt) < d.pace(readInterval)
 }
 
 // rank returns the place of this balancer in the order of readers.
@@ -114,7 +114,7 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, heard time.Time) bool { return now.Sub(heard) < memberTimeout }))
+	return lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, heard time.Time) bool { return now.Sub(heard) < d.pace(memberTimeout) }))
 }
 
 func (d *Directory) readDone(err error) {
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -58,7 +58,7 @@
 // at the given time. Balancers tell all they know; replicas only those that are
 // silent, as they may have restarted.
 func (d *Directory) tells(heard, now time.Time) bool {
-	return !d.config.Replica || now.Sub(heard) > memberTimeout
+	return !d.config.Replica || now.Sub(heard) > d.pace(memberTimeout)
 }
 
 // mayFetch reports whether the directory may fetch what another has newer, and notes
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
@@ -105,6 +106,7 @@
 		Zone:         b.zone,
 		AgentPort:    agentPort,
 		MaxFlow:      maxFlow,
+		Bounds:       bounds.Default(),
 		Codec:        l.codec,
 		Catalog:      func() *catalog.Catalog { return b.catalog },
 		Corroborated: b.corroborated,
--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -51,6 +51,8 @@
 	inbox   chan func()
 	sockets map[netip.AddrPort]*net.UDPConn
 	running map[netip.Addr]*process
+	// health holds the TCP listeners of servers that run.
+	health  map[netip.AddrPort]net.Listener
 	stopped chan struct{}
 	tasks   sync.WaitGroup
 	// loss is the share of packets of callers and servers that is lost.
@@ -83,6 +85,7 @@
 		inbox:   make(chan func(), 4096),
 		sockets: make(map[netip.AddrPort]*net.UDPConn),
 		running: make(map[netip.Addr]*process),
+		health:  make(map[netip.AddrPort]net.Listener),
 		stopped: make(chan struct{}),
 	}
 	l.real = r
@@ -104,6 +107,9 @@
 	for ip := range r.running {
 		r.kill(l.vms[ip])
 	}
+	for a := range r.health {
+		r.stopHealth(a)
+	}
 	close(r.stopped)
 	_ = r.server.Close()
 	for _, s := range r.sockets {
@@ -186,6 +192,35 @@
 	}
 }
 
+// startHealth accepts connections at the address of a server, which tells agents that
+// it runs.
+func (r *real) startHealth(a netip.AddrPort) {
+	r.stopHealth(a)
+	listener, err := net.Listen("tcp4", a.String())
+	if err != nil {
+		r.lab.find("lab: %v", err)
+		return
+	}
+	r.health[a] = listener
+	r.tasks.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	})
+}
+
+// stopHealth refuses connections at the address of a server.
+func (r *real) stopHealth(a netip.AddrPort) {
+	if listener, ok := r.health[a]; ok {
+		_ = listener.Close()
+		delete(r.health, a)
+	}
+}
+
 func (r *real) publish(routes catalog.Routes) {
 	if err := r.store.Publish(routes); err != nil {
 		r.lab.find("lab: %v", err)
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -77,6 +77,9 @@
 	s.drainedAt = time.Time{}
 	s.flows = make(map[packet.Flow]*serverFlow)
 	s.busy, s.waiting = 0, nil
+	if s.lab.real != nil {
+		s.lab.real.startHealth(s.app())
+	}
 	s.lab.platform.register(s)
 }
 
@@ -101,6 +104,9 @@
 		ToFleet:  func(raw []byte, to netip.AddrPort) error { l.send(raw, s.relay(), to); return nil },
 		ToServer: func(raw []byte) error { l.send(raw, s.outbound(), s.app()); return nil },
 	})
+	if !s.alive {
+		s.agent.NoteServerDown()
+	}
 	l.receivers[s.relay()] = s.agent.FromFleet
 	l.receivers[s.outbound()] = func(raw []byte, _ netip.AddrPort) { s.agent.FromServer(raw) }
 	l.every(s.vm, packetagent.MaintainInterval, s.agent.Maintain)
@@ -121,6 +127,9 @@
 func (s *serverVM) crash() {
 	s.alive = false
 	s.flows = nil
+	if s.lab.real != nil {
+		s.lab.real.stopHealth(s.app())
+	}
 	s.disturbed = s.lab.clock.Now()
 }
 
--- a/internal/packetbalancer/bench_test.go
+++ b/internal/packetbalancer/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
@@ -55,7 +56,7 @@
 	c = c.WithServers(catalog.NewServers(1, list))
 	b := NewWiredBalancer(Config{
 		Front: netip.AddrPortFrom(loopback, 1), Back: netip.AddrPortFrom(loopback, 2), Zone: "a",
-		AgentPort: agent.Port(), MaxFlow: time.Minute, Codec: platform.PacketCodec(),
+		AgentPort: agent.Port(), MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true }, Alone: func() bool { return false }, ReadAt: time.Now,
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
@@ -50,6 +51,8 @@
 	AgentPort uint16
 	// MaxFlow is the age after which a flow may be forgotten.
 	MaxFlow time.Duration
+	// Bounds are those of the deployment.
+	Bounds bounds.Bounds
 	// Codec reads and marks packets.
 	Codec packet.Codec
 	// Catalog returns the newest catalog.
@@ -144,7 +147,7 @@
 		config:    c,
 		wire:      w,
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
-		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Clock.Now()),
+		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Bounds, c.Clock.Now()),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 	}
 	b.lost.Store(&map[netip.AddrPort]bool{})
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -67,6 +67,7 @@
 			Peer:     s.Relay,
 			PeerPort: s.Seeds[0].Port(),
 			Replica:  true,
+			Bounds:   s.Bounds(),
 			Zone:     s.Zone,
 			Send:     a.carry.Send,
 			Changed:  func(*catalog.Catalog, []directory.Lapsed) {},
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -54,6 +54,7 @@
 		PeerPort:    s.Peer.Port(),
 		ReplicaPort: s.AgentPort,
 		Zone:        s.Zone,
+		Bounds:      s.Bounds(),
 		Seeds:       lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
 		Source: directory.Source{
 			Routes:  store.Routes,
@@ -76,6 +77,7 @@
 		Zone:         s.Zone,
 		AgentPort:    s.AgentPort,
 		MaxFlow:      s.MaxFlow(),
+		Bounds:       s.Bounds(),
 		Codec:        platform.PacketCodec(),
 		Catalog:      b.directory.Catalog,
 		Corroborated: b.directory.Corroborated,
--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/checkedjson"
 	"github.com/bergamotgw/bergamotgw/internal/fault"
 )
@@ -26,6 +27,16 @@
 	MaxFlowSeconds float64 `json:"maxFlowSeconds"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL.
 	GraceSeconds float64 `json:"graceSeconds"`
+	// ContactMillis is how long a VM must have been undisturbed to count as in touch, in
+	// milliseconds; 0 selects 4,000.
+	ContactMillis float64 `json:"contactMillis,omitempty"`
+	// DrainMillis is how soon a server that drains gets no new flows, and ApplyMillis how
+	// soon new routes are in force, in milliseconds; 0 selects 3,000.
+	DrainMillis float64 `json:"drainMillis,omitempty"`
+	ApplyMillis float64 `json:"applyMillis,omitempty"`
+	// AddressReuseSeconds is how soon the address of a server that has gone may belong to
+	// another service; 0 selects 2.
+	AddressReuseSeconds float64 `json:"addressReuseSeconds,omitempty"`
 	// LogLevel is debug, info, warn or error; empty selects info.
 	LogLevel string `json:"logLevel,omitempty"`
 }
@@ -40,6 +51,21 @@
 	return seconds(c.GraceSeconds)
 }
 
+// Bounds returns the bounds of the deployment.
+func (c Common) Bounds() bounds.Bounds {
+	b := bounds.Default()
+	if c.ContactMillis > 0 {
+		b.Contact = millis(c.ContactMillis)
+	}
+	if change := lo.Compact([]float64{c.DrainMillis, c.ApplyMillis}); len(change) > 0 {
+		b.Change = millis(lo.Min(change))
+	}
+	if c.AddressReuseSeconds > 0 {
+		b.AddressReuse = seconds(c.AddressReuseSeconds)
+	}
+	return b
+}
+
 // Balancer are the settings of a balancer.
 type Balancer struct {
 	Common
@@ -103,6 +129,7 @@
 	c.Require(s.MaxFlowSeconds > 0, "maxFlowSeconds", "%v, want more than 0", s.MaxFlowSeconds)
 	c.Require(s.GraceSeconds > 0, "graceSeconds", "%v, want more than 0", s.GraceSeconds)
 	c.Require(lo.Contains([]string{"", "debug", "info", "warn", "error"}, s.LogLevel), "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
+	checkBounds(s, c)
 	if s.Metrics != "" {
 		_, err := netip.ParseAddrPort(s.Metrics)
 		c.Require(err == nil, "metrics", "%q is not an address with a port", s.Metrics)
@@ -127,6 +154,26 @@
 	c.Address(s.Callers, "callers")
 }
 
+// checkBounds reports bounds that the periods of the programs cannot keep, and such that
+// contradict each other.
+func checkBounds(s Common, c *checkedjson.Checker) {
+	least := func(value float64, unit, limit time.Duration, field string) {
+		d := time.Duration(value * float64(unit))
+		c.Require(value == 0 || d >= limit, field, "%v, want at least %v", d, limit)
+	}
+	least(s.ContactMillis, time.Millisecond, bounds.MinContact, "contactMillis")
+	least(s.DrainMillis, time.Millisecond, bounds.MinChange, "drainMillis")
+	least(s.ApplyMillis, time.Millisecond, bounds.MinChange, "applyMillis")
+	least(s.AddressReuseSeconds, time.Second, bounds.MinAddressReuse, "addressReuseSeconds")
+	lost := s.Bounds().LostAfter()
+	c.Require(s.MaxFlowSeconds <= 0 || s.MaxFlow() > lost, "maxFlowSeconds",
+		"%v, want more than %v, after which silent VMs count as lost (contactMillis)", s.MaxFlow(), lost)
+}
+
+func millis(n float64) time.Duration {
+	return time.Duration(n * float64(time.Millisecond))
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
@@ -32,9 +33,6 @@
 	usualService = 20 * time.Millisecond
 	// coldFactor is how much slower a server counts while it warms up.
 	coldFactor = 1.6
-	// lapseGrace is how long a ready server that is no longer listed stays usable:
-	// entries that lapsed in an outage return within 2 s of its end.
-	lapseGrace = 1800 * time.Millisecond
 	// goneAfter is how long a server that does not answer must be missing from the
 	// list to count as gone, with all its flows: entries of live servers are back
 	// within 2 s of an outage.
@@ -45,10 +43,6 @@
 	// suspectAfter is how long an agent may leave a message unanswered; several
 	// round trips between zones and turns of a small processor.
 	suspectAfter = 150 * time.Millisecond
-	// lostAfter is how long an agent may leave every message unanswered before the
-	// flows of its server count as gone, although the server is listed: the users
-	// count a VM as out of touch after 4 to 5 s.
-	lostAfter = 5 * time.Second
 	// startSpread is how much earlier than this balancer a server may have started if
 	// both lost power together: VMs start within 0.3 s of each other, and their clocks
 	// differ a little.
@@ -99,6 +93,7 @@
 	zone    string
 	port    uint16
 	retain  time.Duration
+	bounds  bounds.Bounds
 	started time.Time
 	ranker  rendezvous.Ranker
 	// key ranks the agents for this balancer.
@@ -128,7 +123,7 @@
 // NewSelection returns an empty selection for a balancer in a zone. Agents
 // listen at the given port, and are remembered for the retention period after
 // their server was last listed. started is when the balancer started.
-func NewSelection(zone string, agentPort uint16, retain time.Duration, started time.Time) *Selection {
+func NewSelection(zone string, agentPort uint16, retain time.Duration, b bounds.Bounds, started time.Time) *Selection {
 	ranker := rendezvous.NewRanker(nil)
 	return &Selection{
 		key:        ranker.Hash(started.AppendFormat([]byte(zone), time.RFC3339Nano)),
@@ -136,6 +131,7 @@
 		zone:       zone,
 		port:       agentPort,
 		retain:     retain,
+		bounds:     b,
 		started:    started,
 		ranker:     ranker,
 		agents:     make(map[netip.AddrPort]*Agent),
@@ -282,7 +278,7 @@
 	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving {
 		return false
 	}
-	return s.missing(a) < lapseGrace
+	return s.missing(a) < s.bounds.LapseGrace()
 }
 
 // missing returns how long the platform has been seen not to list the server of
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -31,7 +32,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
 		now := start
-		s := NewSelection("a", testPort, testRetain, start)
+		s := NewSelection("a", testPort, testRetain, testBounds(path), start)
 		revision := uint64(0)
 		var latest steer.Envelope
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -102,6 +103,19 @@
 	})
 }
 
+// testBounds returns the bounds of a script: those of files named after halved or
+// doubled bounds differ from the default.
+func testBounds(path string) bounds.Bounds {
+	b := bounds.Default()
+	switch {
+	case strings.HasSuffix(path, "HalvedBounds.txt"):
+		b.Contact, b.Change, b.AddressReuse = b.Contact/2, b.Change/2, b.AddressReuse/2
+	case strings.HasSuffix(path, "DoubledBounds.txt"):
+		b.Contact, b.Change, b.AddressReuse = 2*b.Contact, 2*b.Change, 2*b.AddressReuse
+	}
+	return b
+}
+
 func serverAddress(number string) netip.AddrPort {
 	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%s:%d", number, testPort))
 }
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -69,7 +69,8 @@
 // server cannot be reached either. Only the time counts in which the balancer
 // reached most others.
 func (s *Selection) silentForLong(a *Agent, now time.Time) bool {
-	return now.Sub(a.Asked) > lostAfter && now.Sub(s.cutOffAt) > lostAfter
+	limit := s.bounds.LostAfter()
+	return now.Sub(a.Asked) > limit && now.Sub(s.cutOffAt) > limit
 }
 
 // left reports whether the server of an agent that does not answer has stopped as
