Say which request goes to the server, and leave out no failure

Cause: a request that died in a loss of power had no line: nothing said that a server had been given it, and of answers two a second were written.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -19,9 +19,9 @@
 	// PerSecond is how many lines of each event are written in a second; ten times
 	// the new flows of a process on a busy day of a small deployment.
 	PerSecond = 50
-	// SamplesPerSecond is how many lines of an event that needs only examples are
-	// written in a second.
-	SamplesPerSecond = 2
+	// FailuresPerSecond is how many lines of each event that tells why a request was not
+	// answered are written in a second: more than a server runs.
+	FailuresPerSecond = 500
 	// queueLines is how many lines wait for a slow reader; at about 300 bytes each
 	// they take half a megabyte.
 	queueLines = 2048
@@ -48,8 +48,6 @@
 	since time.Time
 	// written and suppressed count lines since then.
 	written, suppressed int
-	// sampled is true for events that need only examples.
-	sampled bool
 }
 
 // NewLog returns a log that writes to w through a bounded queue.
@@ -75,9 +73,10 @@
 	return l.closer.Close()
 }
 
-// Sample starts a line for an event of which a few examples are enough.
-func (l *Log) Sample(event string) *zerolog.Event {
-	return l.start(l.base.Info, event, SamplesPerSecond)
+// Failure starts a line that tells why a request was not answered. Few are left out,
+// whatever else is written.
+func (l *Log) Failure(event string) *zerolog.Event {
+	return l.start(l.base.Warn, event, FailuresPerSecond)
 }
 
 // Info starts a line for a decision. The result may be nil, on which every
@@ -119,7 +118,7 @@
 	defer l.mu.Unlock()
 	r := l.rates[event]
 	if r == nil {
-		r = &rate{since: now, sampled: perSecond == SamplesPerSecond}
+		r = &rate{since: now}
 		l.rates[event] = r
 	}
 	if now.Sub(r.since) >= window {
@@ -134,13 +133,12 @@
 	return true
 }
 
-// summarize writes how many lines of an event were left out, and starts a
-// window. Of sampled events, most always are.
+// summarize writes how many lines of an event were left out, and starts a window.
 func (l *Log) summarize(event string, r *rate, now time.Time) {
-	if r.suppressed > 0 && !r.sampled {
+	if r.suppressed > 0 {
 		l.base.Info().Str("event", "linesSuppressed").Str("of", event).Int("count", r.suppressed).Send()
 	}
-	*r = rate{since: now, sampled: r.sampled}
+	*r = rate{since: now}
 }
 
 // Flush writes how many lines were left out in windows that have ended.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -42,7 +42,11 @@
 				l.Fields["age"], l.VM, l.Fields["running"], l.Fields["waiting"])
 		}},
 		{event: "flowReset", matches: reason("serverRestarted"), name: "resetServerRestarted", text: func(l Line) string {
-			return fmt.Sprintf("reset: the server beside %s no longer holds the flow that it had, so it has restarted", l.VM)
+			return fmt.Sprintf("reset: the server beside %s no longer holds the flow that it had, so it has restarted; a request that it was working on may have run", l.VM)
+		}},
+		{event: "requestDelivered", name: "deliveredUnanswered", text: func(l Line) string {
+			return fmt.Sprintf("the server beside %s was given the request after a wait of %v ms, and no line tells of an answer: the server or its agent was lost; it may have run",
+				l.VM, l.Fields["waited"])
 		}},
 		{event: "flowReset", matches: reason("notHeldAnywhere"), name: "resetNotHeld", text: func(l Line) string {
 			return "reset: the balancer did not know the flow, and no server of the service holds it"
@@ -96,8 +100,34 @@
 	return waited > server
 }
 
+// outcomes are the events that tell what became of a request that a server was given.
+var outcomes = []string{
+	"requestAnswered", "requestLate", "requestFailed", "requestReset", "requestOverdue", "requestAbandoned",
+}
+
+// latestRequest drops what earlier requests of a flow came to: their answers, and that
+// the latest one was given to the server if its outcome is known.
+func latestRequest(lines []Line) []Line {
+	_, delivered, ok := lo.FindLastIndexOf(lines, func(l Line) bool { return l.Event == "requestDelivered" })
+	if !ok {
+		return lines
+	}
+	settled := lo.ContainsBy(lines[delivered:], func(l Line) bool { return lo.Contains(outcomes, l.Event) })
+	return lo.Filter(lines, func(l Line, i int) bool {
+		switch l.Event {
+		case "requestDelivered":
+			return i == delivered && !settled
+		case "requestAnswered", "requestLate":
+			return i > delivered
+		default:
+			return true
+		}
+	})
+}
+
 // findCause returns the cause of a story that has lines.
 func findCause(lines []Line) Cause {
+	lines = latestRequest(lines)
 	for _, r := range rules() {
 		found, _, ok := lo.FindLastIndexOf(lines, func(l Line) bool {
 			return l.Event == r.event && (r.matches == nil || r.matches(l))
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -80,7 +80,7 @@
 	a.failures.add(true, now)
 	a.counts.ServerFailures.Add(1)
 	r := a.running[entry.Flow]
-	a.config.Log.Info("requestReset").Stringer("flow", entry.Flow).Str("request", entry.RequestID).
+	a.config.Log.Failure("requestReset").Stringer("flow", entry.Flow).Str("request", entry.RequestID).
 		Dur("server", now.Sub(r.delivered)).Float32("failures", a.failures.share(now)).Send()
 	delete(a.running, entry.Flow)
 	entry.Running = false
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -111,6 +111,8 @@
 func (a *Agent) run(entry *flowtable.Entry, sent, now time.Time) {
 	entry.Running = true
 	a.running[entry.Flow] = running{sent: sent, delivered: now, concurrent: len(a.running) + 1}
+	a.config.Log.Info("requestDelivered").Stringer("flow", entry.Flow).Str("request", entry.RequestID).
+		Dur("waited", now.Sub(sent)).Int("running", len(a.running)).Send()
 }
 
 // cancel forgets the request of a flow that has ended.
@@ -126,7 +128,7 @@
 	if !entry.Running && !entry.Held {
 		return
 	}
-	line := a.config.Log.Info("requestAbandoned").Stringer("flow", entry.Flow).Str("request", entry.RequestID).Bool("held", entry.Held)
+	line := a.config.Log.Failure("requestAbandoned").Stringer("flow", entry.Flow).Str("request", entry.RequestID).Bool("held", entry.Held)
 	if r, ok := a.running[entry.Flow]; ok {
 		line = line.Dur("age", now.Sub(r.sent)).Dur("waited", r.delivered.Sub(r.sent)).Dur("server", now.Sub(r.delivered))
 	}
@@ -163,11 +165,11 @@
 	var line *zerolog.Event
 	switch {
 	case status >= failureStatus:
-		line = a.config.Log.Info("requestFailed")
+		line = a.config.Log.Failure("requestFailed")
 	case age > time.Duration(entry.Class.TargetMillis)*time.Millisecond:
-		line = a.config.Log.Info("requestLate")
+		line = a.config.Log.Failure("requestLate")
 	default:
-		line = a.config.Log.Sample("requestAnswered")
+		line = a.config.Log.Info("requestAnswered")
 	}
 	line.Stringer("flow", entry.Flow).Str("request", entry.RequestID).Int("status", status).
 		Dur("age", age).Dur("waited", r.delivered.Sub(r.sent)).Dur("server", now.Sub(r.delivered)).
@@ -206,7 +208,7 @@
 		if entry := a.table.Get(r.Flow); entry != nil {
 			entry.Held, id = false, entry.RequestID
 		}
-		a.config.Log.Warn("requestExpired").Stringer("flow", r.Flow).Str("request", id).
+		a.config.Log.Failure("requestExpired").Stringer("flow", r.Flow).Str("request", id).
 			Dur("age", now.Sub(r.Sent)).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Dur("service", service).Send()
 	}
 	overdue := max(overdueFactor*service, minOverdue)
@@ -218,7 +220,7 @@
 			if entry := a.table.Get(f); entry != nil {
 				entry.Running, id = false, entry.RequestID
 			}
-			a.config.Log.Warn("requestOverdue").Stringer("flow", f).Str("request", id).Dur("server", now.Sub(r.delivered)).
+			a.config.Log.Failure("requestOverdue").Stringer("flow", f).Str("request", id).Dur("server", now.Sub(r.delivered)).
 				Int("concurrent", r.concurrent).Dur("service", service).Send()
 		}
 	}
--- /dev/null
+++ b/internal/packetbalancer/growth_test.go
@@ -0,0 +1,84 @@
+package packetbalancer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/bergamotgw/bergamotgw/internal/bounds"
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+	"github.com/bergamotgw/bergamotgw/platform"
+	"github.com/bergamotgw/bergamotgw/platform/standin"
+)
+
+// newZonedBalancer returns a balancer on a virtual clock, and the servers of one service
+// in six zones. Reports of agents that are asked arrive at once.
+func newZonedBalancer(agents int) (b *Balancer, clock *clockwork.FakeClock, pings *int) {
+	clock = clockwork.NewFakeClock()
+	var list []catalog.Server
+	for i := range agents {
+		list = append(list, catalog.Server{
+			ID: fmt.Sprint("s", i), Service: "pass", Slots: 2, State: catalog.Ready, Zone: string(rune('a' + i%6)),
+			Address: netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}),
+		})
+	}
+	c := catalog.NewCatalog().WithRoutes(catalog.Routes{Version: 1, List: []catalog.Route{{
+		Name: "r", Address: service, Shares: []catalog.Share{{Service: "pass", Weight: 1}},
+	}}}).WithServers(catalog.NewServers(1, list))
+	pings = new(int)
+	b = NewWiredBalancer(Config{
+		Front: netip.AddrPortFrom(loopback, 1), Back: netip.AddrPortFrom(loopback, 2), Zone: "a", AgentPort: 7001,
+		MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
+		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true },
+		Alone: func() bool { return false }, ReadAt: clock.Now,
+		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
+		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
+	}, Wire{
+		ToFleet: func(raw []byte, to netip.AddrPort) error {
+			kind, _ := steer.KindOf(raw)
+			if kind == steer.Ping {
+				*pings++
+			}
+			if kind == steer.Ping || kind == steer.Forward {
+				var report [steer.ReportLen]byte
+				steer.PutReport(report[:], steer.Load{Service: 20 * time.Millisecond}, packet.Flow{})
+				b.handleReport(report[:], to)
+			}
+			return nil
+		},
+		ToCaller: func([]byte, netip.AddrPort) error { return nil },
+	})
+	b.SetServers(c.Servers)
+	return b, clock, pings
+}
+
+// TestPingsDoNotGrowWithTheFleet places flows at a steady rate in services of 30 to 2,000
+// servers: what a balancer asks depends on its own flows, not on the number of servers.
+func TestPingsDoNotGrowWithTheFleet(t *testing.T) {
+	const seconds, flowsPerSecond, mostPerSecond = 20, 20, 100
+	for _, agents := range []int{30, 100, 300, 2000} {
+		b, clock, pings := newZonedBalancer(agents)
+		for n := range seconds * int(time.Second/PingInterval) {
+			clock.Advance(PingInterval)
+			for i := range flowsPerSecond * int(PingInterval) / int(time.Second) {
+				f, _ := flowPacket(n*100+i, 0)
+				b.FromCaller(standin.PutPacket(packet.Packet{
+					SourceIP: f.CallerIP, SourcePort: f.CallerPort, DestinationIP: f.ServiceIP, DestinationPort: f.ServicePort, Syn: true,
+				}))
+			}
+			b.PingAgents()
+		}
+		if got := *pings / seconds; got > mostPerSecond {
+			t.Errorf("%d pings a second among %d agents, want at most %d", got, agents, mostPerSecond)
+		}
+		t.Logf("%d agents: %d pings a second", agents, *pings/seconds)
+	}
+}
