Wait for requests on flows just admitted when an agent leaves

Cause: an agent that was told to leave in the moment after it admitted a flow counted no request and stopped before the request came, so its first packets were lost until the agent ran again.

--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -199,11 +199,12 @@
 	a.reportAll(a.load(now), now)
 }
 
-// Busy returns the number of requests that wait or run.
+// Busy returns the number of requests that wait or run, or will come on flows that were
+// just admitted.
 func (a *Agent) Busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.running) + a.queue.Len()
+	return a.expectedCount(a.config.Clock.Now()) + len(a.running) + a.queue.Len()
 }
 
 // Flows returns the number of flows in the table.
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -44,12 +44,18 @@
 // outstanding counts the requests that go before one that arrives now: those that
 // are expected, those that run, and those held that can still be answered in time.
 func (a *Agent) outstanding(now time.Time) int {
+	return a.expectedCount(now) + a.queue.Timely(now, a.server()) + len(a.running)
+}
+
+// expectedCount returns how many flows were just admitted, so that their first request
+// will come.
+func (a *Agent) expectedCount(now time.Time) int {
 	for f, at := range a.expected {
 		if now.Sub(at) > expectedFor {
 			delete(a.expected, f)
 		}
 	}
-	return len(a.expected) + a.queue.Timely(now, a.server()) + len(a.running)
+	return len(a.expected)
 }
 
 // delay returns the expected wait of a further request, and whether a new flow
