--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -32,6 +32,9 @@
 	askPause = 10 * time.Millisecond
 	// maxDue bounds the questions of one round, also while many do not answer.
 	maxDue = 24
+	// maxNew bounds the questions of one round to agents that were never asked; each is
+	// asked once as soon as it is listed, so that searches do not break at dead ones.
+	maxNew = 256
 )
 
 // watch selects the agents that are asked although they are not used: those nearest
@@ -54,29 +57,34 @@
 }
 
 // Due returns the agents to ask for a report now, the one whose question is the
-// oldest first: those that do not answer, and those in use whose report is too old.
+// oldest first: those that were never asked, those that do not answer, and those in use
+// whose report is too old.
 // While flows are searched, those not heard lately are due as well.
 func (s *Selection) Due(now time.Time) []netip.AddrPort {
-	inUse := 0
+	inUse, unasked := 0, 0
 	for _, a := range s.agents {
 		if a.inUse(now) {
 			inUse++
 		}
+		if a.pinged.IsZero() {
+			unasked++
+		}
 	}
 	fresh := max(freshReport, time.Duration(inUse)*askPause)
 	searching := now.Sub(s.searched) < searchFor
 	s.scored = s.scored[:0]
 	for _, a := range s.agents {
 		age := now.Sub(a.Heard)
-		if a.suspect(now) || a.inUse(now) && age > fresh || searching && age > usedFor {
+		if a.pinged.IsZero() || a.suspect(now) || a.inUse(now) && age > fresh || searching && age > usedFor {
 			s.scored = append(s.scored, scored{agent: a})
 		}
 	}
 	s.sort(func(a, b scored) int {
 		return cmp.Or(a.agent.pinged.Compare(b.agent.pinged), a.agent.Address.Compare(b.agent.Address))
 	})
-	due := make([]netip.AddrPort, 0, maxDue)
-	for _, c := range s.scored[:min(len(s.scored), maxDue)] {
+	most := max(maxDue, min(unasked, maxNew))
+	due := make([]netip.AddrPort, 0, most)
+	for _, c := range s.scored[:min(len(s.scored), most)] {
 		due = append(due, c.agent.Address)
 	}
 	return due
