Ask all agents at once which hold a flow that the likely holders do not

Ruled out: summaries of all flows of each agent, which are wrong for flows opened since.

Of a service with more than 32 servers, 16 likely holders are searched; then a query names up to 64 flows, and each agent answers for each: held, not held, or unsure if it has started after its server. The packet goes to the holder, or past the unsure ones. Services of up to 32 servers are searched as before.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -43,6 +43,10 @@
 		a.report(from, packet.Flow{}, now)
 		return
 	}
+	if kind == steer.Query {
+		a.handleQuery(raw, from, now)
+		return
+	}
 	rest, ok := e.Parse(raw)
 	if !ok || e.Kind != steer.Forward {
 		a.counts.Malformed.Add(1)
@@ -213,6 +217,30 @@
 	a.notHeld(e, p, raw, rest)
 }
 
+// handleQuery tells a balancer which of some flows the server holds.
+func (a *Agent) handleQuery(raw []byte, from netip.AddrPort, now time.Time) {
+	id, flows, ok := steer.ParseQuery(raw)
+	if !ok {
+		a.counts.Malformed.Add(1)
+		return
+	}
+	holdings := make([]steer.Holding, len(flows))
+	for i, f := range flows {
+		entry := a.table.Get(f.Flow)
+		switch {
+		case entry != nil && entry.Holds(packet.Packet{Ack: f.Ack, AckSeq: f.AckSeq}):
+			holdings[i] = steer.Held
+			a.config.Log.Info("flowFound").Stringer("flow", f.Flow).Stringer("balancer", from).Send()
+		case entry == nil && !a.complete(now):
+			holdings[i] = steer.Unsure
+		default:
+			holdings[i] = steer.NotHeld
+		}
+	}
+	var answer [steer.AnswerMaxLen]byte
+	a.Send(answer[:steer.PutAnswer(answer[:], id, holdings)], from)
+}
+
 // found tells a balancer that searched for a flow where it is.
 func (a *Agent) found(e *steer.Envelope, entry *flowtable.Entry, now time.Time) {
 	entry.Class = e.Class
--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -10,6 +10,8 @@
 	Placed atomic.Uint64
 	// Walks counts packets of unknown flows sent in search of their agent.
 	Walks atomic.Uint64
+	// Queried counts flows that all agents of a service were asked about.
+	Queried atomic.Uint64
 	// Returned counts packets that came back from an agent without the flow.
 	Returned atomic.Uint64
 	// Lost counts packets whose flow no agent holds.
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -175,6 +175,8 @@
 		b.handleReturn(raw, from)
 	case ok && kind == steer.Lost:
 		b.handleLost(raw)
+	case ok && kind == steer.Answer:
+		b.handleAnswer(raw, from)
 	case ok && kind == steer.Digest:
 		b.config.Digest(ctx, raw, from)
 	default:
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -97,6 +97,7 @@
 
 	mu        sync.Mutex
 	selection *selection.Selection
+	inquiries inquiries
 	// cutOffSince is when most agents stopped answering; zero if they answer.
 	cutOffSince time.Time
 }
@@ -149,6 +150,7 @@
 		cache:     recent.NewMap[packet.Flow, place](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Bounds, c.Clock.Now()),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
+		inquiries: inquiries{byFlow: make(map[packet.Flow]*asked), open: make(map[uint32]*inquiry)},
 	}
 	b.lost.Store(&map[netip.AddrPort]bool{})
 	return b
@@ -231,6 +233,7 @@
 	for _, a := range due {
 		b.Send(ping[:], a)
 	}
+	b.tendInquiries(now)
 }
 
 // noteCutOff notes whether the agents can be reached. The caller holds the lock.
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -24,7 +24,7 @@
 	if !at.notHeld || b.config.Clock.Since(at.searched) > notHeldFor {
 		at.searched = time.Time{}
 	}
-	gone := b.walk(buf, flow, route, steer.Envelope{Attempt: at.attempts, List: at.list}, at)
+	gone := b.walk(buf, p, flow, route, at)
 	if gone && !p.Reset {
 		b.counts.Lost.Add(1)
 		b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", at.attempts).Send()
@@ -32,13 +32,13 @@
 	}
 }
 
-// walk sends a packet of an unknown flow past a page of the agents that may
-// hold it. search tells attempt, page, and the list of the page before, and at
-// what is known from earlier searches. gone is true if nobody is left to be asked.
-func (b *Balancer) walk(buf []byte, flow packet.Flow, route *catalog.Route, search steer.Envelope, at place) (gone bool) {
+// walk sends a packet of an unknown flow past the agents that probably hold it; if there
+// are more that may, all are asked afterwards. at is what is known from earlier searches.
+// gone is true if nobody is left to be asked.
+func (b *Balancer) walk(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, at place) (gone bool) {
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
-	e.Attempt, e.Page, e.List, e.Partial = search.Attempt, search.Page, search.List, search.Partial
+	e.Attempt = at.attempts
 	corroborated, alone := b.config.Corroborated(), b.config.Alone()
 	b.mu.Lock()
 	b.selection.Read(b.config.ReadAt())
@@ -46,14 +46,11 @@
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
 	restarted := alone && b.selection.AllFresh(services)
-	e.Partial = e.Partial || !corroborated && !restarted
-	var asked time.Time
-	if e.Page == 0 {
-		asked = b.selection.AskedSince(at.searched, at.list, services, now)
-	}
+	e.Partial = !corroborated && !restarted
+	asked := b.selection.AskedSince(at.searched, at.list, services, now)
 	aside := b.selection.Walk(&e, nil, hash, services, asked, now)
 	b.mu.Unlock()
-	if int(e.Count)+len(aside) == 0 {
+	if int(e.Count)+len(aside) == 0 && !e.More {
 		if asked.IsZero() {
 			b.counts.NoServer.Add(1)
 		}
@@ -63,11 +60,8 @@
 	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", e.Attempt).Uint8("page", e.Page).
 		Uint8("agents", e.Count).Int("silentAgents", len(aside)).Bool("again", !asked.IsZero()).Send()
 	next := place{attempts: min(e.Attempt+1, maxAttempts), searched: now, list: e.List}
-	switch {
-	case !asked.IsZero():
+	if !asked.IsZero() {
 		next.searched, next.notHeld = asked, true
-	case e.Page > 0:
-		next.searched = at.searched
 	}
 	b.cache.Put(flow, next)
 	b.copyAside(e, aside, buf)
@@ -75,8 +69,7 @@
 	case e.Count > 0:
 		b.send(&e, buf)
 	case e.More:
-		e.Page++
-		return b.walk(buf, flow, route, e, next)
+		b.inquire(buf, p, flow, route, e.Attempt)
 	}
 	return false
 }
@@ -111,10 +104,12 @@
 	}
 	buf := make([]byte, steer.MaxLen+len(rest))
 	copy(buf[steer.MaxLen:], rest)
-	if e.More {
-		e.Page++
-		at, _ := b.cache.Get(flow)
-		b.walk(buf, flow, route, e, at)
+	switch {
+	case e.More && e.Page == restPage:
+		b.continueWalk(flow)
+		return
+	case e.More:
+		b.inquire(buf, p, flow, route, e.Attempt)
 		return
 	}
 	b.forwardReturned(buf, p, flow, route, from)
@@ -143,6 +138,12 @@
 		b.counts.Malformed.Add(1)
 		return
 	}
+	b.forget(n.Flow)
+	b.noteNotHeld(n)
+}
+
+// noteNotHeld notes that the agents which answered in a search do not hold the flow.
+func (b *Balancer) noteNotHeld(n steer.LostNotice) {
 	b.counts.Lost.Add(1)
 	b.config.Log.Info("flowNotFound").Stringer("flow", n.Flow).Bool("allAsked", n.Complete).Send()
 	b.cache.Update(n.Flow, func(at place) place {
@@ -150,3 +151,10 @@
 		return at
 	})
 }
+
+// forget ends the questions about a flow.
+func (b *Balancer) forget(flow packet.Flow) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.inquiries.byFlow, flow)
+}
--- /dev/null
+++ b/internal/selection/holders.go
@@ -0,0 +1,48 @@
+package selection
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/steer"
+)
+
+// Holders are the agents that may hold an unknown flow.
+type Holders struct {
+	// Agents are those to ask, the likeliest holder first.
+	Agents []netip.AddrPort
+	// Silent are those that do not answer.
+	Silent []steer.Candidate
+	// Hidden is true if one of those may hold the flow.
+	Hidden bool
+	// List tells which list of agents this is.
+	List uint16
+}
+
+// Holders returns all agents of the services that may hold a flow of the given hash.
+func (s *Selection) Holders(hash uint64, services []string, now time.Time) Holders {
+	h := Holders{List: s.listed}
+	s.searched = now
+	for _, service := range services {
+		for _, c := range s.ordered(service, hash, 0) {
+			if !c.agent.suspect(now) {
+				h.Agents = append(h.Agents, c.agent.Address)
+			} else if len(h.Silent) < steer.MaxCandidates {
+				h.Silent = append(h.Silent, candidate(c.agent))
+			}
+			h.Hidden = h.Hidden || s.mayHideFlow(c.agent, now)
+		}
+	}
+	return h
+}
+
+// ordered returns the agents of a service in the order of a search. The list is valid
+// until the next call of any method.
+func (s *Selection) ordered(service string, hash uint64, attempt uint8) []scored {
+	s.scored = s.scored[:0]
+	for _, a := range s.byService[service] {
+		s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+	}
+	s.orderWalk(s.scored, attempt)
+	return s.scored
+}
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -10,14 +10,13 @@
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
-// Walk adds a page of the agents of the services that may hold an unknown flow,
-// most likely first. Later attempts start elsewhere, so that an agent that does
-// not answer cannot hide the others. Agents known not to answer are passed over,
-// and appended to aside: each is sent a copy of its own. A search is complete only
-// if its pages come from one list of agents, and none passed over an agent whose
-// server may live, even if that agent has answered since. Agents that were asked in
-// an earlier search, which began at asked, are left out; asked is as AskedSince
-// returns it.
+// Walk adds the agents of the services that may hold an unknown flow, most likely first:
+// all, or if there are too many those that probably do. Later attempts start elsewhere, so
+// that an agent that does not answer cannot hide the others. Agents known not to answer are
+// passed over, and appended to aside: each is sent a copy of its own. A search is complete
+// only if it takes in all agents and passes over none whose server may live. Agents that
+// were asked in an earlier search, which began at asked, are left out; asked is as
+// AskedSince returns it.
 func (s *Selection) Walk(e *steer.Envelope, aside []steer.Candidate, hash uint64, services []string, asked, now time.Time) []steer.Candidate {
 	s.scored = s.scored[:0]
 	for _, service := range services {
@@ -30,25 +29,24 @@
 		s.orderWalk(s.scored[first:], e.Attempt)
 	}
 	s.searched = now
-	if fansOut(e.Attempt) && len(s.scored) > 0 {
-		for _, c := range s.scored {
-			aside = append(aside, candidate(c.agent))
-		}
-		e.Partial = true
+	list := s.scored
+	e.List, e.More = s.listed, len(list) > steer.MaxCandidates
+	e.Partial = e.Partial || slices.ContainsFunc(list, func(c scored) bool { return s.mayHideFlow(c.agent, now) })
+	switch {
+	case e.More && fansOut(e.Attempt):
 		return aside
+	case e.More:
+		list = list[:likelyFactor*ranked]
+	case fansOut(e.Attempt) && len(list) > 0:
+		e.Partial = true
+		return append(aside, lo.Map(list, func(c scored, _ int) steer.Candidate { return candidate(c.agent) })...)
 	}
-	n := len(s.scored)
-	end := min((int(e.Page)+1)*steer.MaxCandidates, n)
-	e.More = end < n
-	e.Partial = e.Partial || e.Page > 0 && e.List != s.listed ||
-		slices.ContainsFunc(s.scored, func(c scored) bool { return s.mayHideFlow(c.agent, now) })
 	e.Complete = !e.More && !e.Partial
-	e.List = s.listed
-	for i := int(e.Page) * steer.MaxCandidates; i < end; i++ {
-		if a := s.scored[i].agent; a.suspect(now) {
-			aside = append(aside, candidate(a))
+	for _, c := range list {
+		if c.agent.suspect(now) {
+			aside = append(aside, candidate(c.agent))
 		} else {
-			e.Append(candidate(a))
+			e.Append(candidate(c.agent))
 		}
 	}
 	return aside
@@ -135,10 +133,10 @@
 	return true
 }
 
-// fansOut reports whether an attempt sends a copy to every agent instead of one
-// along all of them: where links lose packets, two searches along many agents may
-// both break, and three packets that miss their server within two seconds would
-// break the flow.
+// fansOut reports whether an attempt asks every agent by itself instead of sending one
+// packet along them: a copy to each, or a query if there are many. Where links lose packets,
+// two searches along many agents may both break, and three packets that miss their server
+// within two seconds would break the flow.
 func fansOut(attempt uint8) bool {
 	return attempt >= 2 && attempt%2 == 0
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -28,6 +28,9 @@
 	Ping
 	// Digest tells another balancer how recent the sender's catalog is.
 	Digest
+	// Query asks an agent which of some flows it holds, and Answer tells.
+	Query
+	Answer
 )
 
 // Sizes, in bytes.
@@ -229,7 +232,7 @@
 
 // KindOf returns the kind of a datagram.
 func KindOf(b []byte) (Kind, bool) {
-	if len(b) < 2 || b[0] != magic || b[kindOffset] < byte(Forward) || b[kindOffset] > byte(Digest) {
+	if len(b) < 2 || b[0] != magic || b[kindOffset] < byte(Forward) || b[kindOffset] > byte(Answer) {
 		return 0, false
 	}
 	return Kind(b[kindOffset]), true
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,6 +92,34 @@
 	})
 }
 
+// TestQueryRoundTrip checks queries and their answers, also when they are cut.
+func TestQueryRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.Uint32().Draw(t, "id")
+		var flows []AskedFlow
+		var holdings []Holding
+		for range rapid.IntRange(0, MaxQueried).Draw(t, "count") {
+			flows = append(flows, AskedFlow{Flow: drawFlow(t), Ack: rapid.Bool().Draw(t, "ack"), AckSeq: rapid.Uint32().Draw(t, "seq")})
+			holdings = append(holdings, rapid.SampledFrom([]Holding{NotHeld, Held, Unsure}).Draw(t, "holding"))
+		}
+		var b [QueryMaxLen]byte
+		n := PutQuery(b[:], id, flows)
+		if gotID, got, ok := ParseQuery(b[:n]); !ok || gotID != id || !slices.Equal(got, flows) {
+			t.Fatalf("query %t %d %v, want %d %v", ok, gotID, got, id, flows)
+		}
+		if _, _, ok := ParseQuery(b[:n-1]); ok {
+			t.Fatal("a cut query was decoded")
+		}
+		n = PutAnswer(b[:], id, holdings)
+		if gotID, got, ok := ParseAnswer(b[:n]); !ok || gotID != id || !slices.Equal(got, holdings) {
+			t.Fatalf("answer %t %d %v, want %d %v", ok, gotID, got, id, holdings)
+		}
+		if _, _, ok := ParseAnswer(b[:n-1]); ok {
+			t.Fatal("a cut answer was decoded")
+		}
+	})
+}
+
 // FuzzParse checks that no datagram breaks the decoders.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte{magic, byte(Forward)})
@@ -103,5 +132,7 @@
 		_, _, _ = ParseReport(raw)
 		_, _ = ParseLost(raw)
 		_, _, _ = ParseDigest(raw)
+		_, _, _ = ParseQuery(raw)
+		_, _, _ = ParseAnswer(raw)
 	})
 }
