Track only agents that are asked, and choose without sorting all

Cause: every 100 ms a balancer went through all agents six times, and for each SYN it ranked and sorted all agents of the service: 9.8 ms each round at 12,000 servers, 24 µs a SYN at 109.

Agents that are watched, used, searched or have not answered are tracked; the others cost nothing. Only the agents of searched services are asked, not all. The best are kept while the list is read.

go test -bench 'Round|Place': 12,000 servers 9,797 -> 371 µs a round; 109 servers 23.9 -> 7.6 µs a SYN, 1,000 servers 309 -> 22 µs.

--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -87,3 +87,36 @@
 		t.Logf("%d agents: %d pings a second", agents, *pings/seconds)
 	}
 }
+
+// BenchmarkRound measures what a balancer does every PingInterval, by the number of servers.
+func BenchmarkRound(b *testing.B) {
+	for _, agents := range []int{100, 1000, 12_000} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			x, clock, _ := newZonedBalancer(agents)
+			x.PingAgents()
+			for b.Loop() {
+				clock.Advance(PingInterval)
+				x.PingAgents()
+			}
+		})
+	}
+}
+
+// BenchmarkPlace measures the choice of agents for a new flow, by the number of servers
+// of its service.
+func BenchmarkPlace(b *testing.B) {
+	for _, agents := range []int{3, 109, 1000} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			x, _, _ := newZonedBalancer(agents)
+			x.wire.ToFleet = func([]byte, netip.AddrPort) error { return nil }
+			n := 0
+			for b.Loop() {
+				n++
+				f, _ := flowPacket(n, 0)
+				x.FromCaller(standin.PutPacket(packet.Packet{
+					SourceIP: f.CallerIP, SourcePort: f.CallerPort, DestinationIP: f.ServiceIP, DestinationPort: f.ServicePort, Syn: true,
+				}))
+			}
+		})
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -36,6 +36,12 @@
 	return -weight / math.Log(u)
 }
 
+// Rank returns the rank value of a node for a key where all nodes weigh the same; it
+// orders them as Score does.
+func (r Ranker) Rank(key, node uint64) float64 {
+	return float64(mix(key^node) >> 11)
+}
+
 // Top writes the indexes of the best nodes into best, in descending order of
 // score, and returns how many there are. Nodes without weight are left out.
 func (r Ranker) Top(key uint64, nodes []uint64, weights []float64, best []int) int {
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -17,19 +17,25 @@
 // Choices adds the agents that a new flow of the service should be offered to,
 // best first.
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
-	s.scored = s.scored[:0]
+	s.near, s.far = s.near[:0], s.far[:0]
 	for _, a := range s.byService[service] {
-		if s.usable(a) {
-			s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+		if !s.usable(a) {
+			continue
 		}
+		group := &s.far
+		if a.Server.Zone == s.zone {
+			group = &s.near
+		}
+		group.add(scored{a, s.ranker.Rank(hash, a.hash)}, ranked)
 	}
+	far := min(ranked-min(rankedNear, len(s.near)), len(s.far))
+	s.scored = append(append(s.scored[:0], s.near[:min(len(s.near), ranked-far)]...), s.far[:far]...)
 	if len(s.scored) > 0 {
 		delete(s.emptySince, service)
 	} else if _, ok := s.emptySince[service]; !ok {
 		s.emptySince[service] = now
 	}
 	s.sort(byScore)
-	s.scored = s.scored[:s.nearFirst(s.scored, rankedNear, ranked)]
 	perFlow := s.requestsPerFlow()
 	for i := range s.scored {
 		c := &s.scored[i]
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -22,9 +22,9 @@
 // Holders returns all agents of the services that may hold a flow of the given hash.
 func (s *Selection) Holders(hash uint64, services []string, now time.Time) Holders {
 	h := Holders{List: s.listed}
-	s.searched = now
 	for _, service := range services {
-		for _, c := range s.ordered(service, hash, 0) {
+		for _, c := range s.ordered(service, hash) {
+			s.search(c.agent, now)
 			if !c.agent.suspect(now) {
 				h.Agents = append(h.Agents, c.agent.Address)
 			} else if len(h.Silent) < steer.MaxCandidates {
@@ -38,11 +38,11 @@
 
 // ordered returns the agents of a service in the order of a search. The list is valid
 // until the next call of any method.
-func (s *Selection) ordered(service string, hash uint64, attempt uint8) []scored {
+func (s *Selection) ordered(service string, hash uint64) []scored {
 	s.scored = s.scored[:0]
 	for _, a := range s.byService[service] {
-		s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+		s.scored = append(s.scored, scored{a, s.ranker.Rank(hash, a.hash)})
 	}
-	s.orderWalk(s.scored, attempt)
+	s.orderWalk(s.scored, 0)
 	return s.scored
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -69,6 +69,8 @@
 	Placed int
 	// Used is when the balancer last sent it a packet of a caller; zero if never.
 	Used time.Time
+	// Searched is when it was last searched for the holder of a flow; zero if never.
+	Searched time.Time
 	// Missing is when the server was first missing from the list; zero if listed.
 	Missing time.Time
 
@@ -98,10 +100,11 @@
 	ranker  rendezvous.Ranker
 	// key ranks the agents for this balancer.
 	key uint64
-	// searched is when agents were last searched for the holder of a flow.
-	searched time.Time
 	// agents holds listed servers, and unlisted ones for the retention period.
-	agents    map[netip.AddrPort]*Agent
+	agents map[netip.AddrPort]*Agent
+	// tracked holds the agents that are asked, or may have to be soon; each agent that has
+	// not answered is among them.
+	tracked   map[netip.AddrPort]*Agent
 	byService map[string][]*Agent
 	// read is when the list of servers was last read, and resumed when it first was
 	// after a time in which it could not be.
@@ -111,6 +114,8 @@
 	// emptySince holds when the last usable server of a service was lost.
 	emptySince map[string]time.Time
 	scored     []scored
+	// near and far are scratch space for the agents that are compared for a flow.
+	near, far best
 	// cutOffAt is when CutOff was last true.
 	cutOffAt time.Time
 }
@@ -135,6 +140,7 @@
 		started:    started,
 		ranker:     ranker,
 		agents:     make(map[netip.AddrPort]*Agent),
+		tracked:    make(map[netip.AddrPort]*Agent),
 		byService:  make(map[string][]*Agent),
 	}
 }
@@ -154,6 +160,7 @@
 		}
 		if now.Sub(a.Missing) > s.retain {
 			delete(s.agents, address)
+			delete(s.tracked, address)
 			s.listed++
 		}
 	}
@@ -189,7 +196,7 @@
 	a := s.agents[address]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
 		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String())), fresh: s.justStarted(v)}
-		s.agents[address] = a
+		s.agents[address], s.tracked[address] = a, a
 		s.listed++
 	}
 	a.Server, a.Missing = v, time.Time{}
@@ -220,18 +227,21 @@
 			a.Returned = now
 		}
 		a.Load, a.Heard, a.Asked, a.Placed = l, now, time.Time{}, 0
+		s.tracked[address] = a
 	}
 }
 
 // Asked notes a message to an agent that it answers with a report.
 func (s *Selection) Asked(address netip.AddrPort, now time.Time) {
 	if a := s.agents[address]; a != nil {
-		a.ask(now)
+		a.pinged = now
+		s.awaitReport(a, now)
 	}
 }
 
-func (a *Agent) ask(now time.Time) {
-	a.pinged = now
+// awaitReport notes that an agent has a message that it answers.
+func (s *Selection) awaitReport(a *Agent, now time.Time) {
+	s.tracked[a.Address] = a
 	if a.Asked.IsZero() {
 		a.Asked = now
 	}
@@ -242,9 +252,7 @@
 	if a := s.agents[address]; a != nil {
 		a.Placed++
 		a.Used = now
-		if a.Asked.IsZero() {
-			a.Asked = now
-		}
+		s.awaitReport(a, now)
 	}
 }
 
@@ -252,6 +260,7 @@
 func (s *Selection) Used(address netip.AddrPort, now time.Time) {
 	if a := s.agents[address]; a != nil {
 		a.Used = now
+		s.tracked[address] = a
 	}
 }
 
@@ -306,7 +315,7 @@
 // Turned calls changed for each agent that has stopped or started to answer
 // since the last call.
 func (s *Selection) Turned(now time.Time, changed func(a Agent, silent bool)) {
-	for _, a := range s.agents {
+	for _, a := range s.tracked {
 		if silent := a.suspect(now); silent != a.wasSuspect {
 			a.wasSuspect = silent
 			changed(*a, silent)
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -15,7 +15,7 @@
 		s.cutOffAt = now
 		return lost
 	}
-	for address, a := range s.agents {
+	for address, a := range s.tracked {
 		if a.suspect(now) && !s.mayHideFlow(a, now) {
 			lost[address] = true
 		}
@@ -29,7 +29,7 @@
 // for it.
 func (s *Selection) CutOff(now time.Time) bool {
 	var sample, asked ratio
-	for _, a := range s.agents {
+	for _, a := range s.tracked {
 		if !a.Missing.IsZero() {
 			continue
 		}
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -23,12 +23,12 @@
 		first := len(s.scored)
 		for _, a := range s.byService[service] {
 			if asked.IsZero() || a.unasked(asked, now) {
-				s.scored = append(s.scored, scored{a, s.ranker.Score(hash, a.hash, 1)})
+				s.scored = append(s.scored, scored{a, s.ranker.Rank(hash, a.hash)})
+				s.search(a, now)
 			}
 		}
 		s.orderWalk(s.scored[first:], e.Attempt)
 	}
-	s.searched = now
 	list := s.scored
 	e.List, e.More = s.listed, len(list) > steer.MaxCandidates
 	e.Partial = e.Partial || slices.ContainsFunc(list, func(c scored) bool { return s.mayHideFlow(c.agent, now) })
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -22,7 +22,7 @@
 	// usedFor is how long an agent counts as used after the latest packet to it, and
 	// as known after its latest report.
 	usedFor = 2 * time.Second
-	// searchFor is how long after a search all agents are asked: the caller repeats its
+	// searchFor is how long after a search its agents are asked: the caller repeats its
 	// packet within 1.6 s.
 	searchFor = 2 * time.Second
 	// freshReport is the least age of a report after which an agent is asked again.
@@ -40,42 +40,64 @@
 // watch selects the agents that are asked although they are not used: those nearest
 // to this balancer, and a sample of all.
 func (s *Selection) watch() {
-	s.scored = s.scored[:0]
-	near := 0
+	var near, sample best
 	for _, a := range s.agents {
 		a.watched, a.probe = false, false
-		s.scored = append(s.scored, scored{a, s.ranker.Score(s.key, a.hash, 1)})
-	}
-	s.sort(byScore)
-	for i, c := range s.scored {
-		c.agent.probe = i < sampleSize
-		if c.agent.Server.Zone == s.zone && near < nearLimit {
-			near++
-			c.agent.watched = true
+		c := scored{a, s.ranker.Rank(s.key, a.hash)}
+		sample.add(c, sampleSize)
+		if a.Server.Zone == s.zone {
+			near.add(c, nearLimit)
 		}
 	}
+	for _, c := range sample {
+		c.agent.probe = true
+		s.tracked[c.agent.Address] = c.agent
+	}
+	for _, c := range near {
+		c.agent.watched = true
+		s.tracked[c.agent.Address] = c.agent
+	}
+}
+
+// best holds the agents with the highest scores, in descending order.
+type best []scored
+
+// add takes an agent, unless there are limit with a higher score.
+func (b *best) add(c scored, limit int) {
+	if len(*b) == limit && c.score <= (*b)[limit-1].score {
+		return
+	}
+	if len(*b) < limit {
+		*b = append(*b, c)
+	}
+	at := len(*b) - 1
+	for ; at > 0 && (*b)[at-1].score < c.score; at-- {
+		(*b)[at] = (*b)[at-1]
+	}
+	(*b)[at] = c
 }
 
 // Due returns the agents to ask for a report now, the one whose question is the
 // oldest first: those that were never asked, those that do not answer, and those in use
-// whose report is too old.
-// While flows are searched, those not heard lately are due as well.
+// whose report is too old. Those that are searched are due as well if not heard lately.
 func (s *Selection) Due(now time.Time) []netip.AddrPort {
 	inUse, unasked := 0, 0
-	for _, a := range s.agents {
-		if a.inUse(now) {
+	for address, a := range s.tracked {
+		switch {
+		case a.inUse(now):
 			inUse++
+		case a.Asked.IsZero() && !a.wasSuspect && !a.searched(now) && !a.pinged.IsZero():
+			delete(s.tracked, address)
 		}
 		if a.pinged.IsZero() {
 			unasked++
 		}
 	}
 	fresh := max(freshReport, time.Duration(inUse)*askPause)
-	searching := now.Sub(s.searched) < searchFor
 	s.scored = s.scored[:0]
-	for _, a := range s.agents {
+	for _, a := range s.tracked {
 		age := now.Sub(a.Heard)
-		if a.pinged.IsZero() || a.suspect(now) || a.inUse(now) && age > fresh || searching && age > usedFor {
+		if a.pinged.IsZero() || a.suspect(now) || a.inUse(now) && age > fresh || a.searched(now) && age > usedFor {
 			s.scored = append(s.scored, scored{agent: a})
 		}
 	}
@@ -90,6 +112,18 @@
 	return due
 }
 
+// search notes that an agent is searched for the holder of a flow.
+func (s *Selection) search(a *Agent, now time.Time) {
+	a.Searched = now
+	s.tracked[a.Address] = a
+}
+
+// searched reports whether the agent was lately searched for the holder of a flow, so
+// that it matters whether it answers.
+func (a *Agent) searched(now time.Time) bool {
+	return now.Sub(a.Searched) < searchFor
+}
+
 // inUse reports whether the balancer needs to know the load of an agent: it may be
 // chosen soon, holds flows that were used lately, or has told of a fault whose end
 // nobody else would tell.
