Search again without waiting for callers, and ask a server once about a flow

Cause: after a loss of power a search proves nothing until former entries have lapsed; callers were told that a flow is gone only when they repeated their packet, 0.2 to 1.6 s later, often after their deadline.

A balancer repeats a search, twice for a packet, as soon as a further one can prove something; such a repetition asks agents and shows nothing to servers. An agent remembers flows that its server has bounced, until a SYN passes.

--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -20,8 +20,9 @@
 
 // failedSeeds have failed once, and lie outside the seeds that are played anyway.
 // 46, 155 and 217 reset live flows (docs/PROOFS.md); in 136 a balancer that had been
-// cut off took the agent of a live server, which restarted then, for lost.
-var failedSeeds = []uint64{46, 136, 155, 217}
+// cut off took the agent of a live server, which restarted then, for lost. In 1014, 5022
+// and 5031 searches showed packets to other servers again and again.
+var failedSeeds = []uint64{46, 136, 155, 217, 1014, 5022, 5031}
 
 const (
 	randomFrom  = 4 * time.Second
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -104,6 +104,7 @@
 	flow := p.SentFlow()
 	a.config.Log.Info("flowAdmitted").Stringer("flow", flow).Uint8("hop", e.Hop).Bool("take", e.Take).
 		Uint32("copy", p.AckSeq).Dur("delay", delay).Int("running", len(a.running)).Int("waiting", a.queue.Len()).Int("slots", a.slotCount()).Send()
+	a.denied.Remove(flow)
 	entry := a.table.Add(flow, now)
 	entry.Class, entry.Opened = e.Class, now.Add(-copyAge(p.AckSeq))
 	a.expected[flow] = now
@@ -206,7 +207,7 @@
 		a.config.Log.Warn("packetOfOtherServer").Stringer("flow", flow).Uint8("state", uint8(entry.State)).
 			Uint32("acknowledged", p.AckSeq).Uint32("serverNext", entry.ServerNext()).Send()
 	}
-	if entry == nil && !a.complete(now) && e.Service == a.config.Service {
+	if entry == nil && a.unsure(flow, now) && e.Service == a.config.Service {
 		a.counts.Asked.Add(1)
 		a.asked[flow] = asking{balancer: e.Balancer, class: e.Class, at: now}
 		a.config.Log.Info("serverAsked").Stringer("flow", flow).Uint8("hop", e.Hop).
@@ -231,7 +232,7 @@
 		case entry != nil && entry.Holds(packet.Packet{Ack: f.Ack, AckSeq: f.AckSeq}):
 			holdings[i] = steer.Held
 			a.config.Log.Info("flowFound").Stringer("flow", f.Flow).Stringer("balancer", from).Send()
-		case entry == nil && !a.complete(now):
+		case entry == nil && a.unsure(f.Flow, now):
 			holdings[i] = steer.Unsure
 		default:
 			holdings[i] = steer.NotHeld
@@ -241,6 +242,15 @@
 	a.Send(answer[:steer.PutAnswer(answer[:], id, holdings)], from)
 }
 
+// unsure reports whether the server may hold a flow that is not in the table.
+func (a *Agent) unsure(flow packet.Flow, now time.Time) bool {
+	if a.complete(now) {
+		return false
+	}
+	_, denied := a.denied.Get(flow)
+	return !denied
+}
+
 // found tells a balancer that searched for a flow where it is.
 func (a *Agent) found(e *steer.Envelope, entry *flowtable.Entry, now time.Time) {
 	entry.Class = e.Class
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -107,6 +107,9 @@
 	a.config.Codec.ClearMarks(raw)
 	flow := p.SentFlow()
 	delete(a.asked, flow)
+	if !p.Syn && !a.complete(now) {
+		a.denied.Put(flow, struct{}{})
+	}
 	if entry := a.table.Get(flow); entry != nil {
 		if p.Syn && entry.State != flowtable.Opening {
 			// A late copy of the SYN: the server's answer to the first stands.
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
@@ -24,6 +25,10 @@
 
 // Sizes of datagrams and buffers.
 const (
+	// deniedLimit bounds each of the two generations of flows that the server has denied;
+	// at some 40 bytes each they take less than a megabyte.
+	deniedLimit = 10_000
+
 	maxDatagramBytes  = 2048
 	socketBufferBytes = 1 << 20
 )
@@ -85,6 +90,9 @@
 	expected map[packet.Flow]time.Time
 	// asked holds the flows about which the server was asked, until it answers.
 	asked map[packet.Flow]asking
+	// denied holds flows of which the server has bounced a packet, so that it is not
+	// asked again: it can hold them only if a SYN has passed since.
+	denied *recent.Map[packet.Flow, struct{}]
 	// tags remember the envelopes of packets that the server may bounce.
 	tags tagRing
 	// slots is how many requests the server runs at a time; 0 until a balancer told.
@@ -174,6 +182,7 @@
 		asked:     make(map[packet.Flow]asking),
 		expected:  make(map[packet.Flow]time.Time),
 		listeners: make(map[netip.AddrPort]time.Time),
+		denied:    recent.NewMap[packet.Flow, struct{}](c.Clock, c.MaxFlow/2, deniedLimit),
 		rate:      rateMeter{since: now},
 	}
 }
--- a/internal/packetagent/whole_test.go
+++ b/internal/packetagent/whole_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/platform/standin"
 )
 
 // TestServerStartsAfterAgent checks that after a loss of power, in which the agent
@@ -27,3 +28,27 @@
 		}
 	}
 }
+
+// TestServerIsAskedOnce checks that an agent that has started after its server shows it a
+// packet of an unknown flow once: what it has bounced, it cannot hold unless a SYN passes.
+func TestServerIsAskedOnce(t *testing.T) {
+	a := newBenchAgent()
+	delivered := 0
+	a.wire.ToServer = func([]byte) error { delivered++; return nil }
+	const n = 7
+	late := packet.Packet{Ack: true, Seq: 1, AckSeq: 1, Data: []byte("x")}
+	bounced := late
+	bounced.SourceIP, bounced.SourcePort, bounced.Bounced = [4]byte{100, 64, 0, 0}, n, true
+	a.FromFleet(forwarded(n, late), balancer)
+	a.FromServer(standin.PutPacket(bounced))
+	a.FromFleet(forwarded(n, late), balancer)
+	if delivered != 1 {
+		t.Errorf("%d packets to a server that does not hold their flow, want 1", delivered)
+	}
+	a.open(n)
+	before := delivered
+	a.FromFleet(forwarded(n, packet.Packet{Ack: true, Seq: 2, AckSeq: 501, Data: []byte("x")}), balancer)
+	if delivered != before+1 {
+		t.Error("a packet of a flow that was opened since did not reach the server")
+	}
+}
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -22,13 +22,19 @@
 	answerTime = 300 * time.Millisecond
 	// walkTime is how long a packet may take past the agents that could not tell.
 	walkTime = 500 * time.Millisecond
-	// maxAsked bounds the flows that are asked about, each with a packet of its caller.
+	// maxAsked bounds the flows that are searched, each with a packet of its caller.
 	maxAsked = 1024
+	// searchMemory is how long after its latest packet a flow is searched.
+	searchMemory = 4 * time.Second
+	// repeatPause is the pause before the balancer searches again by itself, and maxRepeats
+	// how often it does so for a packet: callers repeat it after 0.2 to 1.6 s.
+	repeatPause = 300 * time.Millisecond
+	maxRepeats  = 2
 	// restPage is the page number of a search past the agents that could not tell.
 	restPage = 1
 )
 
-// asked is a flow that agents are asked about, with the packet that showed it.
+// asked is a flow that is searched, with the latest packet of its caller.
 type asked struct {
 	flow   packet.Flow
 	packet packet.Packet
@@ -36,8 +42,12 @@
 	route  *catalog.Route
 	// envelope is what is alike for all datagrams of the search.
 	envelope steer.Envelope
-	// began is when the flow was put on the list of questions.
-	began time.Time
+	// seen is when the packet came, searched when the latest search began.
+	seen, searched time.Time
+	// repeats counts the searches since, by which the balancer did not wait for the caller.
+	repeats int
+	// asking is true from the question until the answers have come, or are too late.
+	asking bool
 	// walking holds the agents that the packet has still to pass, as they could not tell.
 	walking []netip.AddrPort
 }
@@ -53,7 +63,7 @@
 
 // inquiries are the questions of a balancer.
 type inquiries struct {
-	// byFlow holds every flow that is asked about.
+	// byFlow holds every flow that is searched and was not found or told to be gone.
 	byFlow map[packet.Flow]*asked
 	// pending holds the flows that wait for the next query.
 	pending []*asked
@@ -63,22 +73,41 @@
 	open   map[uint32]*inquiry
 }
 
-// inquire asks all agents about the flow of a packet, soon and together with others, in
-// the given attempt to find it.
-func (b *Balancer) inquire(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, attempt uint8) {
+// remember keeps the packet of a flow that is searched.
+func (b *Balancer) remember(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, attempt uint8) {
+	if p.Reset {
+		return
+	}
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
 	e.Attempt, e.Page = attempt, restPage
 	e.Service = route.SelectID(func() uint64 { return b.selection.Hash(flow) })
+	p.Data = nil
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.inquiries.byFlow[flow]
+	switch {
+	case f != nil && f.asking:
+		return
+	case f == nil && len(b.inquiries.byFlow) >= maxAsked:
+		return
+	}
+	b.inquiries.byFlow[flow] = &asked{
+		flow: flow, packet: p, raw: append([]byte(nil), buf[steer.MaxLen:]...), route: route, envelope: e, seen: now, searched: now,
+	}
+}
+
+// inquire asks all agents about a flow that is searched, soon and together with others.
+func (b *Balancer) inquire(flow packet.Flow) {
+	now := b.config.Clock.Now()
 	b.mu.Lock()
 	q := &b.inquiries
-	if _, known := q.byFlow[flow]; known || len(q.byFlow) >= maxAsked {
+	f := q.byFlow[flow]
+	if f == nil || f.asking {
 		b.mu.Unlock()
 		return
 	}
-	p.Data = nil
-	f := &asked{flow: flow, packet: p, raw: append([]byte(nil), buf[steer.MaxLen:]...), route: route, envelope: e, began: now}
-	q.byFlow[flow] = f
+	f.asking, f.searched = true, now
 	q.pending = append(q.pending, f)
 	due := now.Sub(q.sentAt) >= queryPause
 	b.mu.Unlock()
@@ -194,14 +223,18 @@
 			continue
 		}
 		rest := i.Rest(n)
-		if len(rest) == 0 {
-			b.notHeldAnywhere(f)
-			continue
-		}
 		b.mu.Lock()
 		f.walking = rest
+		repeated := f.repeats > 0
 		b.mu.Unlock()
-		b.walkRest(f)
+		switch {
+		case len(rest) == 0:
+			b.notHeldAnywhere(f)
+		case repeated:
+			b.endUnsure(f)
+		default:
+			b.walkRest(f)
+		}
 	}
 }
 
@@ -210,7 +243,10 @@
 func (b *Balancer) notHeldAnywhere(f *asked) {
 	b.mu.Lock()
 	e := f.envelope
-	delete(b.inquiries.byFlow, f.flow)
+	f.asking = false
+	if !e.Partial {
+		delete(b.inquiries.byFlow, f.flow)
+	}
 	b.mu.Unlock()
 	if e.Partial {
 		b.noteNotHeld(steer.LostNotice{Flow: f.flow, Searched: true, Attempt: e.Attempt, List: e.List})
@@ -256,6 +292,15 @@
 	b.send(&e, f.buffer())
 }
 
+// endUnsure ends a search that the balancer has repeated, and that some agents could not
+// answer. Their servers are shown the packet only when its caller repeats it: a late copy
+// that reaches others before its own server would count as a flow gone astray.
+func (b *Balancer) endUnsure(f *asked) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f.asking, f.walking = false, nil
+}
+
 // continueWalk sends the packet of a flow on that has passed a page of agents which
 // could not tell.
 func (b *Balancer) continueWalk(flow packet.Flow) {
@@ -268,10 +313,19 @@
 	}
 }
 
+// conclusive reports whether a search for a flow can prove that nobody holds it. The
+// caller holds the lock.
+func (b *Balancer) conclusive(f *asked, corroborated, alone bool, now time.Time) bool {
+	services := f.route.Services(b.selection.Hash(f.flow))
+	whole := corroborated || alone && b.selection.AllFresh(services)
+	return whole && !b.selection.Hides(services, now)
+}
+
 // tendInquiries sends queries that wait, ends those that agents have not answered in
-// time, and forgets packets that were lost on their way.
+// time, and searches again for flows whose callers have not repeated their packet.
 func (b *Balancer) tendInquiries(now time.Time) {
 	var late []uint32
+	corroborated, alone := b.config.Corroborated(), b.config.Alone()
 	b.mu.Lock()
 	q := &b.inquiries
 	pending := len(q.pending) > 0
@@ -280,11 +334,7 @@
 			late = append(late, id)
 		}
 	}
-	for flow, f := range q.byFlow {
-		if now.Sub(f.began) >= answerTime+walkTime {
-			delete(q.byFlow, flow)
-		}
-	}
+	again := b.searchedAgain(corroborated, alone, now)
 	b.mu.Unlock()
 	if pending {
 		b.sendQueries()
@@ -292,4 +342,37 @@
 	for _, id := range late {
 		b.conclude(id)
 	}
+	for _, f := range again {
+		if at, _ := b.cache.Get(f); !at.agent.IsValid() {
+			b.inquire(f)
+		}
+	}
+}
+
+// searchedAgain forgets flows that were searched long ago, and returns those to search
+// again: the former search was cut short or could prove nothing, and a further one can.
+// The caller holds the lock.
+func (b *Balancer) searchedAgain(corroborated, alone bool, now time.Time) []packet.Flow {
+	var again []packet.Flow
+	conclusive := make(map[*catalog.Route]bool)
+	for flow, f := range b.inquiries.byFlow {
+		if f.asking && now.Sub(f.searched) >= answerTime+walkTime {
+			f.asking = false
+		}
+		switch {
+		case now.Sub(f.seen) >= searchMemory:
+			delete(b.inquiries.byFlow, flow)
+			continue
+		case f.asking || f.repeats >= maxRepeats || now.Sub(f.searched) < repeatPause:
+			continue
+		}
+		if _, known := conclusive[f.route]; !known {
+			conclusive[f.route] = b.conclusive(f, corroborated, alone, now)
+		}
+		if conclusive[f.route] {
+			f.repeats++
+			again = append(again, flow)
+		}
+	}
+	return again
 }
--- a/internal/packetbalancer/census_test.go
+++ b/internal/packetbalancer/census_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
@@ -13,6 +15,7 @@
 // searchFleet is a fleet of agents that answer at once, without network.
 type searchFleet struct {
 	balancer *Balancer
+	clock    *clockwork.FakeClock
 	// holder holds every flow; unset if none does. unsure agents can only ask their server.
 	holder netip.AddrPort
 	unsure map[netip.AddrPort]bool
@@ -23,8 +26,8 @@
 }
 
 func newSearchFleet(agents int) (*searchFleet, []netip.AddrPort) {
-	b, _, _ := newZonedBalancer(agents)
-	f := &searchFleet{balancer: b, unsure: make(map[netip.AddrPort]bool)}
+	b, clock, _ := newZonedBalancer(agents)
+	f := &searchFleet{balancer: b, clock: clock, unsure: make(map[netip.AddrPort]bool)}
 	b.wire.ToFleet = func(raw []byte, to netip.AddrPort) error { f.receive(raw, to); return nil }
 	b.wire.ToCaller = func([]byte, netip.AddrPort) error { f.resets++; return nil }
 	var all []netip.AddrPort
@@ -65,6 +68,11 @@
 		}
 	}
 	switch {
+	case e.Aside:
+		var lost [steer.LostLen]byte
+		p, _ := f.balancer.config.Codec.Parse(rest)
+		steer.LostNotice{Flow: p.SentFlow(), Attempt: e.Attempt, List: e.List}.Put(lost[:])
+		f.balancer.handleLost(lost[:])
 	case e.More:
 		e.Kind = steer.Return
 		returned := make([]byte, e.Len(), e.Len()+len(rest))
@@ -158,6 +166,56 @@
 	}
 }
 
+// TestUnsureAgents checks that a flow which no agent holds is reset only when the servers
+// of those that could not tell have bounced it.
+func TestUnsureAgents(t *testing.T) {
+	f, agents := newSearchFleet(109)
+	for _, a := range agents[:70] {
+		f.unsure[a] = true
+	}
+	_, raw := flowPacket(1, 100)
+	f.balancer.FromCaller(raw)
+	if f.resets != 1 || f.queries != len(agents) {
+		t.Errorf("%d resets, %d queries, want 1 and %d", f.resets, f.queries, len(agents))
+	}
+}
+
+// TestSearchIsRepeated checks that the balancer does not wait for a caller to repeat its
+// packet when a former search could prove nothing, and shows no packet to servers then.
+func TestSearchIsRepeated(t *testing.T) {
+	f, agents := newSearchFleet(109)
+	whole := false
+	f.balancer.config.Corroborated = func() bool { return whole }
+	_, raw := flowPacket(1, 100)
+	f.balancer.FromCaller(raw)
+	if f.resets != 0 || f.queries != len(agents) {
+		t.Fatalf("%d resets, %d queries; want none while servers may not be listed, and %d", f.resets, f.queries, len(agents))
+	}
+	f.clock.Advance(repeatPause)
+	f.balancer.tendInquiries(f.clock.Now())
+	if f.resets != 0 || f.queries != len(agents) {
+		t.Errorf("%d resets, %d queries while a search can prove nothing", f.resets, f.queries)
+	}
+	whole = true
+	f.balancer.tendInquiries(f.clock.Now())
+	if f.resets != 1 || f.queries != 2*len(agents) {
+		t.Errorf("%d resets, %d queries when it can, want 1 and %d", f.resets, f.queries, 2*len(agents))
+	}
+
+	f, agents = newSearchFleet(109)
+	f.unsure[agents[3]] = true
+	whole = false
+	f.balancer.config.Corroborated = func() bool { return whole }
+	f.balancer.FromCaller(raw)
+	passed := f.passed
+	whole = true
+	f.clock.Advance(repeatPause)
+	f.balancer.tendInquiries(f.clock.Now())
+	if f.resets != 0 || f.passed != passed {
+		t.Errorf("%d resets, %d packets to agents in a repeated search that an agent could not answer, want none", f.resets, f.passed-passed)
+	}
+}
+
 // TestSilentAgentHidesFlow checks that no flow is reset while an agent that does not
 // answer may hold it.
 func TestSilentAgentHidesFlow(t *testing.T) {
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -193,6 +193,7 @@
 	}
 	b.mu.Lock()
 	b.selection.Heard(from, load, b.config.Clock.Now())
+	delete(b.inquiries.byFlow, flow)
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
 		b.cache.Put(flow, place{agent: from})
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -26,6 +26,9 @@
 	}
 	gone := b.walk(buf, p, flow, route, at)
 	if gone && !p.Reset {
+		b.mu.Lock()
+		delete(b.inquiries.byFlow, flow)
+		b.mu.Unlock()
 		b.counts.Lost.Add(1)
 		b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", at.attempts).Send()
 		b.reset(flow, p.AckSeq)
@@ -64,12 +67,13 @@
 		next.searched, next.notHeld = asked, true
 	}
 	b.cache.Put(flow, next)
+	b.remember(buf, p, flow, route, e.Attempt)
 	b.copyAside(e, aside, buf)
 	switch {
 	case e.Count > 0:
 		b.send(&e, buf)
 	case e.More:
-		b.inquire(buf, p, flow, route, e.Attempt)
+		b.inquire(flow)
 	}
 	return false
 }
@@ -109,7 +113,8 @@
 		b.continueWalk(flow)
 		return
 	case e.More:
-		b.inquire(buf, p, flow, route, e.Attempt)
+		b.remember(buf, p, flow, route, e.Attempt)
+		b.inquire(flow)
 		return
 	}
 	b.forwardReturned(buf, p, flow, route, from)
@@ -138,7 +143,7 @@
 		b.counts.Malformed.Add(1)
 		return
 	}
-	b.forget(n.Flow)
+	b.endSearch(n)
 	b.noteNotHeld(n)
 }
 
@@ -152,9 +157,17 @@
 	})
 }
 
-// forget ends the questions about a flow.
-func (b *Balancer) forget(flow packet.Flow) {
+// endSearch ends a search that a packet has gone through: its caller was told that the
+// flow is gone, or nothing was proved.
+func (b *Balancer) endSearch(n steer.LostNotice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.inquiries.byFlow, flow)
+	f := b.inquiries.byFlow[n.Flow]
+	switch {
+	case f == nil || !n.Searched:
+	case n.Complete:
+		delete(b.inquiries.byFlow, n.Flow)
+	case len(f.walking) == 0:
+		f.asking = false
+	}
 }
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// Remove forgets a value.
+func (m *Map[K, V]) Remove(key K) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.young, key)
+	delete(m.old, key)
+}
+
 // Get returns a stored value.
 func (m *Map[K, V]) Get(key K) (V, bool) {
 	m.mu.Lock()
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -36,6 +37,13 @@
 	return h
 }
 
+// Hides reports whether an agent of the services that does not answer may hold a flow.
+func (s *Selection) Hides(services []string, now time.Time) bool {
+	return slices.ContainsFunc(services, func(service string) bool {
+		return slices.ContainsFunc(s.byService[service], func(a *Agent) bool { return s.mayHideFlow(a, now) })
+	})
+}
+
 // ordered returns the agents of a service in the order of a search. The list is valid
 // until the next call of any method.
 func (s *Selection) ordered(service string, hash uint64) []scored {
