--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -112,9 +112,9 @@
 	Partial bool
 	// Aside is true for a copy to one agent beside a search along the others.
 	Aside bool
-	// More is true if there is a further page of candidates.
+	// More is true if further agents may hold the flow.
 	More bool
-	// Page numbers the pages of a search, from 0.
+	// Page is 0 while likely holders are searched, and 1 past agents that could not tell.
 	Page uint8
 	// Attempt numbers the searches for the flow, from 0.
 	Attempt uint8
@@ -124,7 +124,7 @@
 	Hop uint8
 	// Count is the number of valid candidates.
 	Count uint8
-	// List tells which list of agents the pages belong to.
+	// List tells which list of agents the candidates belong to.
 	List uint16
 	// Class describes the requests of the flow.
 	Class Class
