--- a/internal/packetbalancer/census_test.go
+++ b/internal/packetbalancer/census_test.go
@@ -68,18 +68,19 @@
 		}
 	}
 	switch {
-	case e.Aside:
-		var lost [steer.LostLen]byte
-		p, _ := f.balancer.config.Codec.Parse(rest)
-		steer.LostNotice{Flow: p.SentFlow(), Attempt: e.Attempt, List: e.List}.Put(lost[:])
-		f.balancer.handleLost(lost[:])
-	case e.More:
+	case e.More && !e.Aside:
 		e.Kind = steer.Return
 		returned := make([]byte, e.Len(), e.Len()+len(rest))
 		e.Put(returned)
 		f.balancer.handleReturn(append(returned, rest...), e.Candidates[e.Count-1].Agent)
-	case e.Complete:
-		f.resets++
+	default:
+		p, _ := f.balancer.config.Codec.Parse(rest)
+		var lost [steer.LostLen]byte
+		steer.LostNotice{Flow: p.SentFlow(), Complete: e.Complete, Searched: !e.Aside, Attempt: e.Attempt, List: e.List}.Put(lost[:])
+		f.balancer.handleLost(lost[:])
+		if e.Complete {
+			f.resets++
+		}
 	}
 }
 
