Share the reset of flows that are gone, and the check that the list is whole

Found on the last read: a flow that is gone was counted, logged and reset in two places, whether the list of servers is whole was worked out in three, and the hash of a flow twice for a query. No behaviour changes.

--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -139,14 +139,14 @@
 	b.mu.Lock()
 	q := &b.inquiries
 	b.selection.Read(b.config.ReadAt())
-	services := route.Services(b.selection.Hash(flows[0].flow))
-	holders := b.selection.Holders(b.selection.Hash(flows[0].flow), services, now)
-	restarted := alone && b.selection.AllFresh(services)
+	hash := b.selection.Hash(flows[0].flow)
+	services := route.Services(hash)
+	holders := b.selection.Holders(hash, services, now)
 	q.lastID++
 	id := q.lastID
 	i := &inquiry{
 		Census: census.NewCensus(len(flows), holders.Agents, now), flows: flows,
-		partial: holders.Hidden || !corroborated && !restarted,
+		partial: holders.Hidden || !b.listWhole(services, corroborated, alone),
 	}
 	for _, f := range flows {
 		f.envelope.Partial, f.envelope.List = i.partial, holders.List
@@ -255,9 +255,7 @@
 	if at, known := b.cache.Get(f.flow); known && at.agent.IsValid() || f.packet.Reset {
 		return
 	}
-	b.counts.Lost.Add(1)
-	b.config.Log.Info("flowReset").Stringer("flow", f.flow).Str("reason", "notHeldAnywhere").Uint8("attempt", e.Attempt).Send()
-	b.reset(f.flow, f.packet.AckSeq)
+	b.resetGone(f.flow, f.packet, e.Attempt)
 }
 
 // walkRest sends the packet of a flow past the next page of agents that could not tell,
@@ -317,8 +315,7 @@
 // caller holds the lock.
 func (b *Balancer) conclusive(f *asked, corroborated, alone bool, now time.Time) bool {
 	services := f.route.Services(b.selection.Hash(f.flow))
-	whole := corroborated || alone && b.selection.AllFresh(services)
-	return whole && !b.selection.Hides(services, now)
+	return b.listWhole(services, corroborated, alone) && !b.selection.Hides(services, now)
 }
 
 // tendInquiries sends queries that wait, ends those that agents have not answered in
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -29,12 +29,24 @@
 		b.mu.Lock()
 		delete(b.inquiries.byFlow, flow)
 		b.mu.Unlock()
-		b.counts.Lost.Add(1)
-		b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", at.attempts).Send()
-		b.reset(flow, p.AckSeq)
+		b.resetGone(flow, p, at.attempts)
 	}
 }
 
+// resetGone tells a caller that no agent holds its flow.
+func (b *Balancer) resetGone(flow packet.Flow, p packet.Packet, attempt uint8) {
+	b.counts.Lost.Add(1)
+	b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", attempt).Send()
+	b.reset(flow, p.AckSeq)
+}
+
+// listWhole reports whether every server of the services that may live is listed, or known
+// to have lapsed: somebody knows them all, or nobody knows more and all have just started.
+// The caller holds the lock.
+func (b *Balancer) listWhole(services []string, corroborated, alone bool) bool {
+	return corroborated || alone && b.selection.AllFresh(services)
+}
+
 // walk sends a packet of an unknown flow past the agents that probably hold it; if there
 // are more that may, all are asked afterwards. at is what is known from earlier searches.
 // gone is true if nobody is left to be asked.
@@ -48,8 +60,7 @@
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
-	restarted := alone && b.selection.AllFresh(services)
-	e.Partial = !corroborated && !restarted
+	e.Partial = !b.listWhole(services, corroborated, alone)
 	asked := b.selection.AskedSince(at.searched, at.list, services, now)
 	aside := b.selection.Walk(&e, nil, hash, services, asked, now)
 	b.mu.Unlock()
