Log and count refused lists of servers, with the store's epoch

The logs did not show that readings are refused, nor the revisions compared. The order of readings is unchanged.

serversRefused is logged once until a list is applied, as refusals may come some hundred times a second. Metrics: servers_refused_total, servers_revision, servers_epoch.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,6 +12,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -83,16 +84,16 @@
 
 // Servers is the list of servers as read from the platform at one time.
 type Servers struct {
-	// Revision is the revision of the platform at the reading; 0 if there was none.
-	Revision uint64 `json:"revision"`
+	// Position is the state of the platform at the reading; zero if there was none.
+	position.Position
 	// List is sorted by ID.
 	List []Server `json:"list"`
 }
 
 // NewServers returns a reading with the list sorted by ID. It sorts list in place.
-func NewServers(revision uint64, list []Server) Servers {
+func NewServers(at position.Position, list []Server) Servers {
 	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	return Servers{Revision: revision, List: list}
+	return Servers{Position: at, List: list}
 }
 
 // Sum returns a hash of all fields that determine to which server a flow is forwarded.
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // Delta holds the differences between a list and an earlier one of the same kind.
@@ -89,15 +91,15 @@
 type ServersDelta struct {
 	// Base is the hash of the reading that the delta applies to, from Servers.Sum.
 	Base uint64 `json:"base"`
-	// Revision is the revision of the platform at the newer reading.
-	Revision uint64 `json:"revision"`
+	// Position is the state of the platform at the newer reading.
+	position.Position
 	// List holds the differences between the lists. Servers that warm up are always in it.
 	List Delta[string, Server] `json:"list"`
 }
 
 // Delta returns the delta from s to a newer reading.
 func (s Servers) Delta(next Servers) ServersDelta {
-	return ServersDelta{Base: s.Sum(), Revision: next.Revision, List: diff(s.List, next.List, serverKey, sameServer)}
+	return ServersDelta{Base: s.Sum(), Position: next.Position, List: diff(s.List, next.List, serverKey, sameServer)}
 }
 
 // WithDelta returns the newer reading, or s and false if the delta applies to another reading.
@@ -109,7 +111,7 @@
 		v.Warmup = 0
 		return v
 	})
-	return NewServers(d.Revision, d.List.apply(warmedUp, serverKey)), true
+	return NewServers(d.Position, d.List.apply(warmedUp, serverKey)), true
 }
 
 func serverKey(s Server) string { return s.ID }
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -34,7 +35,7 @@
 			Warmup: time.Duration(rapid.IntRange(0, 2).Draw(t, "warmup")) * time.Second,
 		})
 	}
-	return NewServers(revision, list)
+	return NewServers(position.Position{Revision: revision}, list)
 }
 
 // roundTrip returns v after encoding to JSON and decoding, as the receiver gets it.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -93,6 +93,8 @@
 	fetchedAt time.Time
 	// failedSince is the time of the first failed read in a row; zero after a success.
 	failedSince time.Time
+	// refusing is true from the first refused list of servers to the next applied one.
+	refusing bool
 	// expired holds the servers whose entries have recently expired, by ID.
 	expired map[string]Expired
 	// confirmed is true once a balancer with a complete list of the servers that may run
@@ -113,6 +115,8 @@
 	// Fetches counts catalogs that other directories returned; Deltas counts the lists
 	// of routes or servers in them that held only the differences and were applied.
 	Fetches, Deltas atomic.Uint64
+	// Refused counts lists of servers that were older than the list in force.
+	Refused atomic.Uint64
 }
 
 // NewDirectory returns a directory with an empty catalog.
@@ -234,9 +238,17 @@
 	d.mu.Lock()
 	before := d.catalog.Load()
 	if s.Revision < before.Servers.Revision {
+		logged := d.refusing
+		d.refusing = true
 		d.mu.Unlock()
+		d.counts.Refused.Add(1)
+		if !logged {
+			d.config.Log.Warn("serversRefused").Uint64("revision", s.Revision).Uint64("epoch", s.Epoch).
+				Uint64("inForce", before.Servers.Revision).Uint64("epochInForce", before.Servers.Epoch).Str("source", from).Send()
+		}
 		return
 	}
+	d.refusing = false
 	changed := sum != d.sum || before.Servers.Revision == 0
 	next := before.WithServers(s)
 	d.catalog.Store(next)
@@ -251,7 +263,7 @@
 	}
 	d.mu.Unlock()
 	if changed {
-		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).
+		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).Uint64("epoch", s.Epoch).
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
 	}
 	d.changed()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // store is a stand-in for the platform. It returns errors to the balancers in refused.
@@ -61,7 +62,7 @@
 	for _, id := range ids {
 		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Address: s.address})
 	}
-	s.servers = catalog.NewServers(revision, list)
+	s.servers = catalog.NewServers(position.Position{Revision: revision}, list)
 }
 
 func (s *store) refuse(self netip.Addr, refused bool) {
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
 )
 
@@ -198,7 +199,7 @@
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = b.readAt
 	}
-	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.revision, lo.Values(p.servers)))
+	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(position.Position{Revision: p.revision}, lo.Values(p.servers)))
 	b.balancer.SetServers(b.catalog.Servers)
 	for _, v := range b.catalog.Servers.List {
 		b.everListed[v.ID] = v
--- a/internal/packetbalancer/bench_test.go
+++ b/internal/packetbalancer/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
@@ -53,7 +54,7 @@
 			Address: netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i + 1)}),
 		})
 	}
-	c = c.WithServers(catalog.NewServers(1, list))
+	c = c.WithServers(catalog.NewServers(position.Position{Revision: 1}, list))
 	b := NewBalancerWithTransport(Config{
 		Front: netip.AddrPortFrom(loopback, 1), Back: netip.AddrPortFrom(loopback, 2), Zone: "a",
 		AgentPort: agent.Port(), MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
@@ -32,7 +33,7 @@
 	}
 	c := catalog.NewCatalog().WithRoutes(catalog.Routes{Version: 1, List: []catalog.Route{{
 		Name: "r", Address: service, Class: steer.Class{TargetMillis: 400}, Shares: []catalog.Share{{Service: "pass", Weight: 1}},
-	}}}).WithServers(catalog.NewServers(1, list))
+	}}}).WithServers(catalog.NewServers(position.Position{Revision: 1}, list))
 	pings = new(int)
 	b = NewBalancerWithTransport(Config{
 		Front: netip.AddrPortFrom(loopback, 1), Back: netip.AddrPortFrom(loopback, 2), Zone: "a", AgentPort: 7001,
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -59,12 +59,15 @@
 	m.counter("datagrams_unsent_total", "Datagrams that could not be sent.", c.SendFailed.Load)
 	m.counter("platform_reads_total", "Calls to the platform.", r.Reads.Load)
 	m.counter("platform_reads_failed_total", "Reads of the platform that failed.", r.FailedReads.Load)
+	m.counter("servers_refused_total", "Lists of servers refused because they were older than the list in force.", r.Refused.Load)
 	m.counter("catalog_fetches_total", "Catalogs fetched from other balancers.", r.Fetches.Load)
 	m.gauge("catalog_age_seconds", "Time since the catalog was read from the platform, by this balancer or another one.", func() float64 {
 		age, _ := d.Age()
 		return age.Seconds()
 	})
 	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
+	m.gauge("servers_revision", "Revision of the platform's store at which the servers in force were read.", func() float64 { return float64(d.Catalog().Servers.Revision) })
+	m.gauge("servers_epoch", "Number of times that the platform's store had returned from a backup by that reading.", func() float64 { return float64(d.Catalog().Servers.Epoch) })
 	m.gauge("peers_heard", "Other balancers from which a digest was received recently.", func() float64 { return float64(d.Peers()) })
 }
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -42,7 +43,7 @@
 			switch d.Cmd {
 			case "servers":
 				revision++
-				s.Update(catalog.NewServers(revision, readServers(t, d)), now)
+				s.Update(catalog.NewServers(position.Position{Revision: revision}, readServers(t, d)), now)
 				return ""
 			case "report":
 				s.RecordReport(serverAddress(d.CmdArgs[0].Key), readLoad(t, d), now)
