--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -55,6 +55,10 @@
 }
 
 func (s *store) publish(version, revision uint64, ids ...string) {
+	s.publishAt(version, position.Position{Revision: revision}, ids...)
+}
+
+func (s *store) publishAt(version uint64, at position.Position, ids ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.routes = catalog.Routes{Version: version}
@@ -62,7 +66,18 @@
 	for _, id := range ids {
 		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Address: s.address})
 	}
-	s.servers = catalog.NewServers(position.Position{Revision: revision}, list)
+	s.servers = catalog.NewServers(at, list)
+}
+
+// countCalls returns the number of calls within the given time.
+func (s *store) countCalls(d time.Duration) int {
+	s.mu.Lock()
+	before := s.calls
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls - before
 }
 
 func (s *store) refuse(self netip.Addr, refused bool) {
@@ -79,6 +94,15 @@
 	port  uint16
 	mu    sync.Mutex
 	all   map[netip.AddrPort]*Directory
+	// cut holds the directories that exchange no digests.
+	cut map[netip.AddrPort]bool
+}
+
+// connect determines whether a directory exchanges digests with others.
+func (f *fleet) connect(d *Directory, connected bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[d.config.Self] = !connected
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -88,7 +112,7 @@
 	}
 	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
 	_ = l.Close()
-	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory)}
+	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory), cut: make(map[netip.AddrPort]bool)}
 }
 
 // start runs a directory on 127.0.0.n until the test ends.
@@ -114,9 +138,10 @@
 		Source:      f.store.source(ip),
 		Send: func(b []byte, to netip.AddrPort) {
 			f.mu.Lock()
-			other := f.all[netip.AddrPortFrom(to.Addr(), 7000)]
+			to = netip.AddrPortFrom(to.Addr(), 7000)
+			other, cut := f.all[to], f.cut[self] || f.cut[to]
 			f.mu.Unlock()
-			if other != nil {
+			if other != nil && !cut {
 				other.HandleDigest(ctx, append([]byte(nil), b...), self)
 			}
 		},
@@ -173,14 +198,8 @@
 		await(t, d, 1, 1, changeBound)
 	}
 	time.Sleep(time.Second)
-	f.store.mu.Lock()
-	before := f.store.calls
-	f.store.mu.Unlock()
 	const watched = 3 * time.Second
-	time.Sleep(watched)
-	f.store.mu.Lock()
-	calls := f.store.calls - before
-	f.store.mu.Unlock()
+	calls := f.store.countCalls(watched)
 	single := 2 * int(watched/readInterval+1)
 	if calls > single*3/2 {
 		t.Errorf("%d calls by four balancers, one alone makes %d", calls, single)
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -29,10 +29,16 @@
 
 // published is the state of the stand-in of the platform: the routes and servers it lists.
 type published struct {
-	routes   catalog.Routes
-	servers  map[string]catalog.Server
-	revision uint64
-	down     bool
+	routes catalog.Routes
+	// newest is the latest version that the operator wrote; routes is an older one while the
+	// platform lacks it.
+	newest  catalog.Routes
+	servers map[string]catalog.Server
+	// at is the position of the latest change.
+	at   position.Position
+	down bool
+	// backups holds earlier contents, the oldest first.
+	backups []backup
 	// restoredAt is when the latest outage of the platform ended.
 	restoredAt time.Time
 }
@@ -47,7 +53,7 @@
 	if p.servers == nil {
 		p.servers = make(map[string]catalog.Server)
 	}
-	p.revision++
+	p.at.Revision++
 	id := s.entryID()
 	p.servers[id] = catalog.Server{
 		ID: id, Born: s.born.UnixMilli(), Service: s.service.Name, Address: s.ip, Zone: s.zone,
@@ -60,7 +66,7 @@
 	if l.real != nil {
 		l.real.store.Remove(id)
 	}
-	p.revision++
+	p.at.Revision++
 	delete(p.servers, id)
 }
 
@@ -199,7 +205,7 @@
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = b.readAt
 	}
-	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(position.Position{Revision: p.revision}, lo.Values(p.servers)))
+	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.at, lo.Values(p.servers)))
 	b.balancer.SetServers(b.catalog.Servers)
 	for _, v := range b.catalog.Servers.List {
 		b.everListed[v.ID] = v
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -30,7 +30,13 @@
 			},
 		})
 	}
-	l.platform.revision++
+	l.platform.newest = routes
+	l.publish(routes)
+}
+
+// publish writes routes to the platform.
+func (l *Lab) publish(routes catalog.Routes) {
+	l.platform.at.Revision++
 	l.platform.routes = routes
 	if l.real != nil {
 		l.real.publish(routes)
@@ -166,7 +172,7 @@
 		if !expire {
 			return
 		}
-		l.platform.revision++
+		l.platform.at.Revision++
 		l.platform.servers = nil
 		l.after(expiredReturnDelay, func() {
 			for _, s := range l.servers {
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -17,6 +17,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // One-way delays of the emulated network.
@@ -109,6 +110,7 @@
 		started:   clock.Now(),
 		rand:      rand.New(rand.NewPCG(seed, seed)),
 		zones:     zones,
+		platform:  published{at: position.Position{Epoch: 1}},
 		receivers: make(map[netip.AddrPort]func([]byte, netip.AddrPort)),
 		vms:       make(map[netip.Addr]*vm),
 		flows:     make(map[flowKey]*flowRecord),
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -144,15 +144,19 @@
 	var at string
 	var index int
 	var factor float64
-	down := "1s"
+	down, age := "1s", "0s"
 	d.ScanArgs(t, "at", &at)
 	d.MaybeScanArgs(t, "index", &index)
 	d.MaybeScanArgs(t, "for", &down)
+	d.MaybeScanArgs(t, "age", &age)
 	var factorText string
 	if d.MaybeScanArgs(t, "factor", &factorText); factorText != "" {
 		_, _ = fmt.Sscan(factorText, &factor)
 	}
 	name, length := d.CmdArgs[0].Key, duration(t, down)
+	if name == "restorePlatform" {
+		l.TakeBackups()
+	}
 	l.At(duration(t, at), func() {
 		switch name {
 		case "restartBalancer":
@@ -179,6 +183,10 @@
 			l.KillAll(length)
 		case "platformDown":
 			l.PlatformDown(length, true)
+		case "restorePlatform":
+			l.RestorePlatform(length, duration(t, age))
+		case "setRoutes":
+			l.SetRoutes(l.platform.newest.Version+1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 		case "cutBalancer":
 			l.CutBalancer(index, length)
 		case "isolateBalancer":
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -13,8 +13,9 @@
 	firstSeed = flag.Uint64("packetlab.seed", 1, "first seed of TestRandomFaults")
 	seedCount = flag.Int("packetlab.seeds", 24, "number of seeds of TestRandomFaults")
 	// largeCount is the number of seeds from largeSeeds on that also run, isolationCount the
-	// number of those from isolationSeeds on.
+	// number of those from isolationSeeds on, and restoreCount of those from randomRestoreSeeds on.
 	largeCount     = flag.Int("packetlab.largeSeeds", 4, "number of seeds of TestRandomFaults with large services")
+	restoreCount   = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
 	isolationCount = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 )
 
@@ -31,6 +32,9 @@
 	// isolationSeeds is the first seed whose schedule also isolates balancers. Smaller seeds
 	// never do, so that the schedules that have failed once stay the same.
 	isolationSeeds = 1000
+	// randomRestoreSeeds is the first seed whose schedule also changes the routes and returns
+	// the platform from backups; those from largeSeeds on do not.
+	randomRestoreSeeds = 10_000
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// randomRecovery is the time after the last fault; in its second half requests must be
@@ -54,6 +58,9 @@
 	for seed := uint64(isolationSeeds); seed < isolationSeeds+uint64(*isolationCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(randomRestoreSeeds); seed < randomRestoreSeeds+uint64(*restoreCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 	for seed := uint64(largeSeeds); seed < largeSeeds+uint64(*largeCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
@@ -91,6 +98,10 @@
 	if seed >= isolationSeeds {
 		kinds = 13
 	}
+	if seed >= randomRestoreSeeds && seed < largeSeeds {
+		kinds = 15
+		l.TakeBackups()
+	}
 	lost := 0
 	for at := randomFrom; at < randomUntil; at += time.Duration(r.Int64N(int64(1500 * time.Millisecond))) {
 		d := 100*time.Millisecond + time.Duration(r.Int64N(int64(3*time.Second)))
@@ -156,6 +167,12 @@
 	case kind == 12:
 		l.IsolateBalancer(b, d)
 		return fmt.Sprintf("isolateBalancer %d %v", b, d)
+	case kind == 13 && !l.platform.down:
+		l.RestorePlatform(d, time.Duration(pick)*10*time.Millisecond)
+		return fmt.Sprintf("restorePlatform %v, %d ms old", d, pick*10)
+	case kind == 14:
+		l.SetRoutes(l.platform.newest.Version+1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
+		return "setRoutes"
 	case kind == 10 && running && l.servers[s].service.Name == "pass":
 		l.ReuseAddress(s, portalService, 2*time.Second+d)
 		return fmt.Sprintf("reuseAddress %d %v", s, d)
--- a/internal/lab/packetlab/rules.go
+++ b/internal/lab/packetlab/rules.go
@@ -122,7 +122,7 @@
 
 // serviceOf returns the service of the route for a flow, and false if there is none.
 func (l *Lab) serviceOf(f packet.Flow) (string, bool) {
-	for _, r := range l.platform.routes.List {
+	for _, r := range l.platform.newest.List {
 		if r.Address == f.Service() {
 			return r.Shares[0].Service, true
 		}
--- a/internal/lab/packetlab/soak.go
+++ b/internal/lab/packetlab/soak.go
@@ -85,12 +85,14 @@
 		c.Load(soakKinds[0], time.Second/2, s.For+soakWarmup+soakRecovery)
 		c.Load(soakKinds[1], time.Second/2, s.For+soakWarmup+soakRecovery)
 	}
+	l.TakeBackups()
 	s.schedule(l)
 	l.Run(soakWarmup + s.For)
 	l.Run(soakWarmup + s.For + soakRecovery/2)
-	before := l.tally
+	before, callsBefore := l.tally, l.real.store.Calls()
 	l.Run(soakWarmup + s.For + soakRecovery)
 	s.checkRecovery(l, l.tally.minus(before))
+	s.checkCalls(l, l.real.store.Calls()-callsBefore)
 	_, _ = fmt.Fprintf(s.Result, "seed %d: %+v, %d findings, schedule at most %v late\n", s.Seed, l.tally, len(l.Findings), l.real.worstLag)
 	if l.real.worstLag > maxLag {
 		return l.Findings, merry.Appendf(ErrLate, "by %v", l.real.worstLag)
@@ -111,6 +113,16 @@
 	}
 }
 
+// checkCalls checks that the balancers called the platform, in the second half of the recovery,
+// no more often than if each read it on its own.
+func (s Soak) checkCalls(l *Lab, calls int) {
+	const callsPerRead = 2
+	reads := int(soakRecovery/2/readInterval) + 1
+	if most := s.Balancers * reads * callsPerRead; calls > most {
+		l.addFinding("calls: %d to the platform within %v, want at most %d", calls, soakRecovery/2, most)
+	}
+}
+
 // vms returns the VMs of all balancers and servers.
 func (s Soak) vms(l *Lab) []*vm {
 	var list []*vm
@@ -154,7 +166,7 @@
 // schedule draws the faults of the seed and schedules them.
 func (s Soak) schedule(l *Lab) {
 	r := rand.New(rand.NewPCG(s.Seed, 1))
-	list := faults()
+	list := s.faults()
 	total := 0
 	for _, f := range list {
 		total += f.weight
@@ -172,9 +184,13 @@
 	}
 }
 
+// restoreSeeds is the first seed whose schedule also returns the platform from backups. Smaller
+// seeds never do, so that the schedules that have failed once stay the same.
+const restoreSeeds = 8000
+
 // faults returns the kinds of fault of a soak.
-func faults() []fault {
-	return []fault{
+func (s Soak) faults() []fault {
+	list := []fault{
 		{"killBalancer", 3, func(l *Lab, r *rand.Rand) string {
 			return onBalancer(l, r, func(i int) { l.RestartBalancer(i, restartDelay(r)) })
 		}},
@@ -218,14 +234,25 @@
 			return fmt.Sprintf("share %.3f", l.real.loss)
 		}},
 		{"routes", 2, func(l *Lab, _ *rand.Rand) string {
-			version := l.platform.routes.Version + 1
+			version := l.platform.newest.Version + 1
 			l.SetRoutes(version, soakKinds, []string{soakService.Name, soakService.Name})
 			return fmt.Sprintf("version %d", version)
 		}},
 		{"killAll", 1, func(l *Lab, r *rand.Rand) string { l.KillAll(restartDelay(r)); return "" }},
 	}
+	if s.Seed >= restoreSeeds {
+		list = append(list, fault{"restorePlatform", 3, func(l *Lab, r *rand.Rand) string {
+			d, age := restartDelay(r), time.Duration(r.Int64N(int64(maxBackupAge)))
+			l.RestorePlatform(d, age)
+			return fmt.Sprintf("%v old, after %v", age, d)
+		}})
+	}
+	return list
 }
 
+// maxBackupAge is the greatest age of the backups from which the platform returns in a soak.
+const maxBackupAge = 10 * time.Second
+
 // restartDelay draws how long a fault lasts: 0.1 s to 1.6 s.
 func restartDelay(r *rand.Rand) time.Duration {
 	return 100*time.Millisecond + time.Duration(r.Int64N(int64(1500*time.Millisecond)))
