Order lists of servers by the epoch of the store, then by revision

Callers: new flows went to servers that had been draining for up to 6 s, and no change of the servers was in force until the store had issued as many revisions again as it had lost. The balancers together called the store some 500 times a second meanwhile.

Cause: lists were ordered by the store's revision, in the catalog, in digests and in answers between balancers. After the store returned from a backup every list had a lower revision and was refused. A refused list is no reading, so each balancer in the order of readers read as well, again and again.

Change: positions are ordered by epoch, then by revision, wherever two lists are compared; digests and answers state the epoch. Digests carry it behind the fields that older programs read. Lists of unknown epoch, from older programs, sort first: a frozen older process cannot overwrite a newer list, and a balancer does not wait for readers whose lists it would not apply.

Any number of returns is covered, as is a process that missed some, because the epoch grows with each of them.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -96,6 +96,15 @@
 	return Servers{Position: at, List: list}
 }
 
+// WithPosition returns the same list as read at a later position, or s itself if the position
+// is earlier.
+func (s Servers) WithPosition(at position.Position) Servers {
+	if s.Before(at) {
+		s.Position = at
+	}
+	return s
+}
+
 // Sum returns a hash of all fields that determine to which server a flow is forwarded.
 // Equal lists have equal hashes.
 func (s Servers) Sum() uint64 {
@@ -145,7 +154,7 @@
 
 // WithServers returns a copy with the given reading, or c itself if it is older.
 func (c *Catalog) WithServers(s Servers) *Catalog {
-	if s.Revision < c.Servers.Revision {
+	if s.Before(c.Servers.Position) {
 		return c
 	}
 	next := *c
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,9 +84,9 @@
 	sum uint64
 	// history holds former catalogs that other directories may still have.
 	history history
-	// members holds the time of the latest digest of each other balancer; zero for
-	// those that only the digests or the settings name.
-	members map[netip.AddrPort]time.Time
+	// members holds the other balancers; the zero member for those that only the digests or
+	// the settings name.
+	members map[netip.AddrPort]member
 	// fetching holds the start of each fetch in progress, by the directory that is called.
 	fetching map[netip.AddrPort]time.Time
 	// fetchedAt is when a replica last started to fetch, or was started itself.
@@ -108,6 +108,14 @@
 	counts     Counts
 }
 
+// member is another balancer.
+type member struct {
+	// lastReceived is when its latest digest arrived.
+	lastReceived time.Time
+	// epoch is that of the list of servers that it had then.
+	epoch uint64
+}
+
 // Counts are totals since the start.
 type Counts struct {
 	// Reads counts calls to the platform, FailedReads those that failed.
@@ -125,7 +133,7 @@
 		config:   c,
 		started:  c.Clock.Now(),
 		server:   rpc.NewServer(c.Self.Addr()),
-		members:  make(map[netip.AddrPort]time.Time),
+		members:  make(map[netip.AddrPort]member),
 		fetching: make(map[netip.AddrPort]time.Time),
 		expired:  make(map[string]Expired),
 	}
@@ -134,7 +142,7 @@
 	rpc.Handle(d.server, catalogMethod, d.serveCatalog)
 	for _, s := range c.Seeds {
 		if s != c.Self.Addr() {
-			d.members[netip.AddrPortFrom(s, c.Self.Port())] = time.Time{}
+			d.members[netip.AddrPortFrom(s, c.Self.Port())] = member{}
 		}
 	}
 	return d
@@ -231,13 +239,13 @@
 	return d.readAt
 }
 
-// applyServers replaces the servers in force unless s is older. age is the time since
+// applyServers replaces the servers in force unless s is from an earlier position. age is the time since
 // the platform was called for them.
 func (d *Directory) applyServers(s catalog.Servers, age time.Duration, from string) {
 	sum := s.Sum()
 	d.mu.Lock()
 	before := d.catalog.Load()
-	if s.Revision < before.Servers.Revision {
+	if s.Before(before.Servers.Position) {
 		logged := d.refusing
 		d.refusing = true
 		d.mu.Unlock()
@@ -295,7 +303,7 @@
 	c := d.catalog.Load()
 	return steer.Freshness{
 		RoutesVersion: c.Routes.Version,
-		Revision:      c.Servers.Revision,
+		Position:      c.Servers.Position,
 		Age:           d.config.Clock.Since(d.readAt),
 		Sum:           d.sum,
 		Leaving:       d.leaving,
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -43,7 +44,7 @@
 
 type catalogParams struct {
 	RoutesVersion uint64 `json:"configVersion"`
-	Revision      uint64 `json:"revision"`
+	position.Position
 	// Sum is the hash of the servers that the caller has.
 	Sum uint64 `json:"sum"`
 }
@@ -96,12 +97,12 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for a, lastReceived := range d.members {
-		if !lastReceived.IsZero() && now.Sub(lastReceived) > memberRetention {
+	for a, m := range d.members {
+		if !m.lastReceived.IsZero() && now.Sub(m.lastReceived) > memberRetention {
 			delete(d.members, a)
 		}
 	}
-	all := lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, lastReceived time.Time) bool { return d.sendsDigestTo(lastReceived, now) }))
+	all := lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, m member) bool { return d.sendsDigestTo(m.lastReceived, now) }))
 	if len(all) > maxDigests {
 		return lo.Samples(all, maxDigests)
 	}
@@ -122,7 +123,7 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members[from] = now
+	d.members[from] = member{lastReceived: now, epoch: f.Epoch}
 	if d.config.Replica {
 		members = nil
 	} else if f.Leaving {
@@ -130,22 +131,32 @@
 	}
 	for _, m := range members {
 		if _, listed := d.members[m]; !listed && m != d.config.Self {
-			d.members[m] = time.Time{}
+			d.members[m] = member{}
 		}
 	}
 	c := d.catalog.Load()
 	readAt := now.Add(-f.Age)
 	if f.Sum == d.sum && f.Revision > 0 && readAt.After(d.readAt) {
 		d.readAt = readAt
+		d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
 	}
-	newer := f.RoutesVersion > c.Routes.Version ||
-		f.Revision > c.Servers.Revision && f.Sum != d.sum && readAt.After(d.readAt.Add(-fetchTolerance))
+	newer := f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt)
 	d.peerCorroborated = d.peerCorroborated || f.Corroborated
 	if (newer || f.Corroborated && !d.corroboratedLocked()) && d.mayFetch(now) {
 		d.startFetch(ctx, from, d.config.PeerPort)
 	}
 }
 
+// lacksServers reports whether the sender of a digest has a newer list of servers than this
+// balancer. readAt is when the sender's list was read. The caller holds the lock.
+func (d *Directory) lacksServers(f steer.Freshness, readAt time.Time) bool {
+	at := d.catalog.Load().Servers.Position
+	if !at.Before(f.Position) || f.Sum == d.sum {
+		return false
+	}
+	return f.Epoch > at.Epoch || readAt.After(d.readAt.Add(-fetchTolerance))
+}
+
 // startFetch fetches the catalog of another directory, unless such a fetch is in progress
 // or one from another directory began less than fetchHedgeDelay ago: after a change many
 // digests announce it at the same time. The caller holds the lock.
@@ -177,7 +188,7 @@
 	defer func() { _ = c.Close() }()
 	base, sum := d.current()
 	requestedAt := d.config.Clock.Now()
-	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{base.Routes.Version, base.Servers.Revision, sum})
+	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{base.Routes.Version, base.Servers.Position, sum})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
@@ -256,7 +267,7 @@
 	if c.Routes.Version > p.RoutesVersion {
 		d.history.routesSince(p.RoutesVersion, c.Routes, &r)
 	}
-	if c.Servers.Revision > p.Revision {
+	if p.Before(c.Servers.Position) {
 		d.history.serversSince(p.Sum, c.Servers, &r)
 		r.AgeMillis = now.Sub(d.readAt).Milliseconds()
 	}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -102,9 +102,14 @@
 }
 
 // rank returns the place of this balancer in the order of readers, from 0: live balancers
-// are ordered by address.
+// are ordered by address. Those whose list is from an earlier epoch, or from an unknown one,
+// do not count, because this balancer would not apply their lists.
 func (d *Directory) rank() int {
-	return lo.CountBy(d.live(), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
+	epoch := d.catalog.Load().Servers.Epoch
+	live := lo.PickBy(d.live(), func(a netip.AddrPort, m member) bool {
+		return m.epoch >= epoch && a.Compare(d.config.Self) < 0
+	})
+	return len(live)
 }
 
 // Peers returns the number of other balancers that are live.
@@ -113,13 +118,13 @@
 }
 
 // live returns the other balancers whose latest digest is more recent than memberTimeout.
-func (d *Directory) live() []netip.AddrPort {
+func (d *Directory) live() map[netip.AddrPort]member {
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return lo.Keys(lo.PickBy(d.members, func(_ netip.AddrPort, lastReceived time.Time) bool {
-		return now.Sub(lastReceived) < d.pace(memberTimeout)
-	}))
+	return lo.PickBy(d.members, func(_ netip.AddrPort, m member) bool {
+		return now.Sub(m.lastReceived) < d.pace(memberTimeout)
+	})
 }
 
 // recordRead records the outcome of a read: it counts failures, and logs the start and the
--- a/internal/position/position.go
+++ b/internal/position/position.go
@@ -10,3 +10,11 @@
 	// Revision increases with each change within an epoch; 0 if the store was never read.
 	Revision uint64 `json:"revision"`
 }
+
+// Before reports whether p is an earlier state than o. An unknown epoch is before all others.
+func (p Position) Before(o Position) bool {
+	if p.Epoch != o.Epoch {
+		return p.Epoch < o.Epoch
+	}
+	return p.Revision < o.Revision
+}
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"net/netip"
 	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // MaxMembers is the maximum number of other balancers in a digest.
@@ -14,8 +16,9 @@
 type Freshness struct {
 	// RoutesVersion is the version of the routes; 0 if the sender has none.
 	RoutesVersion uint64
-	// Revision is the platform's revision when the servers were read; 0 if they never were.
-	Revision uint64
+	// Position is the state of the platform at which the servers were read; zero if they
+	// never were.
+	position.Position
 	// Age is the time since the servers were read.
 	Age time.Duration
 	// Sum is a hash of the list of servers; equal lists have equal hashes.
@@ -39,8 +42,11 @@
 
 const (
 	digestFixedLen = 2 + 8 + 8 + 4 + 8 + 1 + 1
+	// epochLen is the length of the epoch, which follows the other balancers: programs that
+	// do not know epochs ignore what follows them.
+	epochLen = 8
 	// DigestMaxLen is the length of the longest digest, in bytes.
-	DigestMaxLen = digestFixedLen + MaxMembers*addrLen
+	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen
 )
 
 // PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
@@ -57,11 +63,14 @@
 	for i, m := range members {
 		putAddr(b[digestFixedLen+i*addrLen:], m)
 	}
-	return digestFixedLen + len(members)*addrLen
+	n := digestFixedLen + len(members)*addrLen
+	binary.BigEndian.PutUint64(b[n:], f.Epoch)
+	return n + epochLen
 }
 
 // ParseDigest decodes a digest: the sender's state, and the other balancers that it names.
-// It returns false if the datagram is not a valid digest.
+// The epoch is 0 if the digest does not state it. It returns false if the datagram is not a
+// valid digest.
 func ParseDigest(b []byte) (Freshness, []netip.AddrPort, bool) {
 	if kind, ok := KindOf(b); !ok || kind != Digest || len(b) < digestFixedLen {
 		return Freshness{}, nil, false
@@ -74,9 +83,13 @@
 	for i := range members {
 		members[i] = addr(b[digestFixedLen+i*addrLen:])
 	}
+	at := position.Position{Revision: binary.BigEndian.Uint64(b[10:])}
+	if rest := b[digestFixedLen+n*addrLen:]; len(rest) >= epochLen {
+		at.Epoch = binary.BigEndian.Uint64(rest)
+	}
 	return Freshness{
 		RoutesVersion: binary.BigEndian.Uint64(b[2:]),
-		Revision:      binary.BigEndian.Uint64(b[10:]),
+		Position:      at,
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
 		Leaving:       b[30]&leavingFlag != 0,
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 func drawAddress(t *rapid.T) netip.AddrPort {
@@ -78,7 +79,7 @@
 			t.Fatalf("not-found notice %t %+v, want %+v", ok, got, notice)
 		}
 		fresh := Freshness{
-			RoutesVersion: rapid.Uint64().Draw(t, "version"), Revision: rapid.Uint64().Draw(t, "revision"),
+			RoutesVersion: rapid.Uint64().Draw(t, "version"), Position: position.Position{Epoch: rapid.Uint64().Draw(t, "epoch"), Revision: rapid.Uint64().Draw(t, "revision")},
 			Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond, Sum: rapid.Uint64().Draw(t, "sum"),
 			Leaving: rapid.Bool().Draw(t, "leaving"), Corroborated: rapid.Bool().Draw(t, "corroborated"),
 			Replica: rapid.Bool().Draw(t, "replica"),
@@ -90,6 +91,10 @@
 		if !ok || got != fresh || len(gotMembers) != 2 || gotMembers[1] != members[1] {
 			t.Fatalf("digest %t %+v %v", ok, got, gotMembers)
 		}
+		fresh.Epoch = 0
+		if got, _, ok := ParseDigest(digest[:n-epochLen]); !ok || got != fresh {
+			t.Fatalf("digest without epoch %t %+v, want %+v", ok, got, fresh)
+		}
 	})
 }
 
