Pause after a read that the platform answered with an older state

Cause: the time of the next read follows from the last accepted list. The epoch removes the occasion, but any answer that is refused would bring it back, as that of a store which goes back without stating an epoch.

Change: a read whose answer is before the list in force at the time of the call has failed: it is counted and logged as such (platformLost with both positions) and repeated after the pause for failures.

TestRefusedReadsPause failed before: 900492 calls in 3 s by four balancers, want at most 56.

--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/samber/lo"
 )
 
@@ -48,7 +49,8 @@
 	}
 }
 
-// read reads the routes, except right after the start, and the servers.
+// read reads the routes, except right after the start, and the servers. It returns an error if
+// a call fails, or if the platform answers with an older state than before.
 func (d *Directory) read(ctx context.Context) error {
 	if !d.starting() {
 		d.counts.Reads.Add(1)
@@ -59,6 +61,7 @@
 		d.applyRoutes(routes, "platform")
 	}
 	d.counts.Reads.Add(1)
+	former := d.catalog.Load().Servers.Position
 	requestedAt := d.config.Clock.Now()
 	servers, faults, err := d.config.Source.Servers(ctx)
 	if err != nil {
@@ -68,6 +71,10 @@
 		d.config.Log.Debug("entryIgnored").Err(f).Send()
 	}
 	d.applyServers(servers, d.config.Clock.Since(requestedAt), "platform")
+	if servers.Before(former) {
+		return merry.Errorf("the platform answered with revision %d of epoch %d, which is before %d of epoch %d",
+			servers.Revision, servers.Epoch, former.Revision, former.Epoch)
+	}
 	return nil
 }
 
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -84,3 +84,21 @@
 		t.Errorf("%d calls by four balancers, one alone makes %d", calls, single)
 	}
 }
+
+// TestRefusedReadsPause guards against balancers that read the platform without a pause while
+// its answers are older than before and state no epoch.
+func TestRefusedReadsPause(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 50, "a", "b")
+	const balancers = 4
+	for n := range byte(balancers) {
+		d := f.start(n + 1)
+		awaitServers(t, d, changeBound, "a", "b")
+	}
+	f.store.publish(1, 10, "a", "b")
+	time.Sleep(2 * time.Second)
+	const watched = 3 * time.Second
+	if calls, most := f.store.countCalls(watched), balancers*2*int(watched/retryInterval+1); calls > most {
+		t.Errorf("%d calls by four balancers, want at most %d", calls, most)
+	}
+}
