Measure the recovery of random faults from the end of a return

Trace: a server is lost, all VMs lose power, and the platform returns from a backup that still lists the lost server. The balancers, without memory, see a listed server that does not answer; it may be cut off and hold flows, so searches prove nothing and flows are not reset until its entry has expired. That is the guarantee, and the same as after the loss of a server's VM. The recovery was measured from a time at which the fault was not over.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -37,6 +37,8 @@
 	// at is the position of the latest change.
 	at   position.Position
 	down bool
+	// returnedAt is when it latest returned from a backup.
+	returnedAt time.Time
 	// backups holds earlier contents, the oldest first.
 	backups []backup
 	// restoredAt is when the latest outage of the platform ended.
--- a/internal/lab/packetlab/restore.go
+++ b/internal/lab/packetlab/restore.go
@@ -57,7 +57,7 @@
 		l.real.store.SetMode(standin.Reset)
 	}
 	l.after(d, func() {
-		p.down, p.restoredAt = false, l.clock.Now()
+		p.down, p.restoredAt, p.returnedAt = false, l.clock.Now(), l.clock.Now()
 		p.at.Epoch++
 		p.at.Revision, p.routes, p.servers = b.revision, b.routes, maps.Clone(b.servers)
 		if l.real != nil {
