Read all changes again when the configuration service has another epoch

A section or VM whose change the watcher never reads stays in its former state until its next change, at every process of the zone.

Cause: a watcher continued after its index, and started over only if the index had gone back. After a return from a backup the service issues former indexes again; if it had reached the index of the watcher before the next call, as after an outage, the changes up to there were skipped.

Change: pages state the epoch of the service, calls that of their index. In another epoch the watcher reads all entries again, and the service answers at once instead of waiting for a change. Without an epoch all is as before. The stand-in learns to return from a backup.

--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -30,6 +30,8 @@
 // Platform serves published entries over HTTP. It is safe for concurrent use.
 type Platform struct {
 	mu sync.Mutex
+	// epoch counts the returns from a backup, from 1.
+	epoch uint64
 	// history holds every published entry, oldest first.
 	history []entry.Entry
 	faults  Faults
@@ -59,7 +61,7 @@
 
 // NewPlatform returns a service without entries.
 func NewPlatform() *Platform {
-	return &Platform{changed: make(chan struct{})}
+	return &Platform{epoch: 1, changed: make(chan struct{})}
 }
 
 // Publish appends entries to the history and notifies the waiting calls.
@@ -70,6 +72,16 @@
 	p.notifyReaders()
 }
 
+// Restore makes the service return from a backup that lacks the latest lost entries. Later
+// entries get indexes that it may have issued before.
+func (p *Platform) Restore(lost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.epoch++
+	p.history = p.history[:max(len(p.history)-lost, 0):max(len(p.history)-lost, 0)]
+	p.notifyReaders()
+}
+
 // SetFaults replaces the faults, also for the waiting calls.
 func (p *Platform) SetFaults(f Faults) {
 	p.mu.Lock()
@@ -133,14 +145,15 @@
 	p.SetFaults(f)
 }
 
-// page is an answer with changes: the index after the last entry, and the entries.
+// page is an answer with changes: the epoch, the index after the last entry, and the entries.
 type page struct {
+	Epoch   uint64        `json:"epoch"`
 	Index   uint64        `json:"index"`
 	Entries []entry.Entry `json:"entries"`
 }
 
 // serveChanges answers with the changes after an index. If there are none, it waits for
-// up to waitMs milliseconds.
+// up to waitMs milliseconds, unless the caller states another epoch than the present one.
 func (p *Platform) serveChanges(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 63)
 	if err != nil {
@@ -148,6 +161,7 @@
 		return
 	}
 	waitMs, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	epoch, _ := strconv.ParseUint(r.URL.Query().Get("epoch"), 10, 64)
 	status, delay := p.admit()
 	if status != http.StatusOK {
 		w.WriteHeader(status)
@@ -161,7 +175,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if answer.Index != after {
+		if answer.Index != after || epoch > 0 && answer.Epoch != epoch {
 			_ = json.NewEncoder(w).Encode(answer)
 			return
 		}
@@ -205,7 +219,7 @@
 		visibleLen = min(p.staleLen, visibleLen)
 	}
 	if after >= uint64(visibleLen) {
-		return page{Index: uint64(visibleLen)}, p.faults.Down, p.changed
+		return page{Epoch: p.epoch, Index: uint64(visibleLen)}, p.faults.Down, p.changed
 	}
 	latest := make(map[string]entry.Entry)
 	size := 0
@@ -214,7 +228,7 @@
 		latest[p.history[end].Key] = p.history[end]
 		size += len(p.history[end].Raw)
 	}
-	answer := page{Index: uint64(end)}
+	answer := page{Epoch: p.epoch, Index: uint64(end)}
 	for _, e := range latest {
 		answer.Entries = append(answer.Entries, e)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // Limits of a call.
@@ -32,6 +33,9 @@
 
 // Page is the answer to one call.
 type Page struct {
+	// Epoch counts the returns of the service from a backup, after which it issues former
+	// indexes again; 0 if the service does not state it.
+	Epoch uint64 `json:"epoch"`
 	// Index is the index after which the next call continues.
 	Index uint64 `json:"index"`
 	// Entries holds the changed values, each once and with its latest text.
@@ -43,12 +47,13 @@
 	return &Client{base: base, http: &http.Client{Timeout: WatchWait + callTimeout}}
 }
 
-// Changes returns the changes after the index. The platform holds the call until there is a
-// change or the wait is over; in that case the page has no entries.
-func (c *Client) Changes(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+// Changes returns the changes after the index of a position. The platform holds the call until
+// there is a change or the wait is over; in that case the page has no entries. It does not hold
+// the call if its epoch is another one.
+func (c *Client) Changes(ctx context.Context, after position.Position, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	url := fmt.Sprintf("%s/v1/changes?after=%d&waitMs=%d", c.base, after, wait.Milliseconds())
+	url := fmt.Sprintf("%s/v1/changes?after=%d&epoch=%d&waitMs=%d", c.base, after.Revision, after.Epoch, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return Page{}, merry.Wrap(err)
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw/internal/entry"
+	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // Limits of the delay after a failed call.
@@ -20,7 +21,7 @@
 // Watcher polls the configuration service and delivers the entries that it reads.
 type Watcher struct {
 	// Changes reads one page; Client.Changes in production.
-	Changes func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+	Changes func(ctx context.Context, after position.Position, wait time.Duration) (Page, error)
 	// Offer is called with every entry.
 	Offer func(entry.Entry)
 	// Clock times the delays.
@@ -31,7 +32,7 @@
 
 // Run polls the service until the context ends. The first call reads all entries.
 func (w *Watcher) Run(ctx context.Context) {
-	var after uint64
+	var after position.Position
 	var backoff time.Duration
 	for ctx.Err() == nil {
 		page, err := w.Changes(ctx, after, WatchWait)
@@ -46,17 +47,20 @@
 		for _, e := range page.Entries {
 			w.Offer(e)
 		}
-		after = nextIndex(after, page)
+		after = w.next(after, page)
 	}
 }
 
-// nextIndex returns the index after which the next call continues. A lower index than before
-// means that the service has lost its state, so all entries are read again.
-func nextIndex(after uint64, page Page) uint64 {
-	if page.Index < after {
-		return 0
+// next returns the position after which the next call continues. Another epoch, or a lower index
+// than before, means that the service has lost changes and may have issued their indexes again,
+// so all entries are read again.
+func (w *Watcher) next(after position.Position, page Page) position.Position {
+	if after.Revision == 0 || page.Epoch == after.Epoch && page.Index >= after.Revision {
+		return position.Position{Epoch: page.Epoch, Revision: page.Index}
 	}
-	return page.Index
+	w.Log.Warn().Str("event", "platformRestored").Uint64("epoch", page.Epoch).Uint64("index", page.Index).
+		Uint64("formerEpoch", after.Epoch).Uint64("formerIndex", after.Revision).Send()
+	return position.Position{Epoch: page.Epoch}
 }
 
 // pause waits after a failed call and returns the new back-off, which doubles up to maxBackoff.
