Prefer the text of the later epoch among two with one revision

If a team's change is lost in a return from a backup and another text is then published under its revision, the change may never be in force, at all processes, until the next one.

Cause: entries are ordered by revision, and by hash if two texts have the same one. After a return the revisions of two epochs were compared: the lost text stayed in force if its hash was the higher one.

Change: entries and refs state the epoch in which they were read; between texts with one revision it goes before the hash. A lower revision never replaces a higher one, as before: what was confirmed and lost stays in force until it is written again. Sums leave the epoch out, so that older programs, which do not know it, agree on equal texts. Reading a text again in a later epoch records the epoch without a change of content.

Directories log platformRestored, as watchers do.

TestRevisionIssuedAgain failed before (owner right of epoch 1 in force, want left of epoch 2). TestLedgersConverge draws epochs now; it found that ledgers differ unless the epoch of a text that is read again is recorded.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -270,6 +270,10 @@
 		d.firstReadAt = d.readAt
 	}
 	d.mu.Unlock()
+	if former := before.Servers.Position; former.Epoch > 0 && s.Epoch > former.Epoch {
+		d.config.Log.Warn("platformRestored").Uint64("epoch", s.Epoch).Uint64("revision", s.Revision).
+			Uint64("formerEpoch", former.Epoch).Uint64("formerRevision", former.Revision).Str("source", from).Send()
+	}
 	if changed {
 		d.config.Log.Info("serversChanged").Uint64("revision", s.Revision).Uint64("epoch", s.Epoch).
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,8 @@
 	Revision uint64 `json:"revision"`
 	// Raw is the text as published, byte for byte.
 	Raw []byte `json:"raw"`
+	// Epoch is the epoch of the platform in which the entry was last read; 0 if unknown.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // Ref identifies the content of an entry without including its text.
@@ -37,23 +39,43 @@
 	Revision uint64 `json:"r"`
 	// Hash is the hash of the text.
 	Hash uint64 `json:"h"`
+	// Epoch is the epoch of the platform in which the entry was last read; 0 if unknown.
+	Epoch uint64 `json:"e,omitempty"`
 }
 
 // Ref returns the ref of the entry.
 func (e Entry) Ref() Ref {
-	return Ref{Key: e.Key, Revision: e.Revision, Hash: siphash.Hash(0, 0, e.Raw)}
+	return Ref{Key: e.Key, Revision: e.Revision, Hash: siphash.Hash(0, 0, e.Raw), Epoch: e.Epoch}
 }
 
-// Supersedes reports whether r replaces o. Of two texts with the same revision the one
-// with the higher hash takes precedence, so that all processes choose the same.
+// WithEpoch returns the ref as read in another epoch.
+func (r Ref) WithEpoch(epoch uint64) Ref {
+	r.Epoch = epoch
+	return r
+}
+
+// SameText reports whether both refs identify the same text, read in whatever epoch.
+func (r Ref) SameText(o Ref) bool {
+	return r.WithEpoch(0) == o.WithEpoch(0)
+}
+
+// Supersedes reports whether r replaces o. Of two texts with the same revision the one that
+// was read in a later epoch takes precedence: the platform had lost the other when the revision
+// was issued again. Within an epoch it is the one with the higher hash, so that all processes
+// choose the same.
 func (r Ref) Supersedes(o Ref) bool {
-	if r.Revision != o.Revision {
+	switch {
+	case r.Revision != o.Revision:
 		return r.Revision > o.Revision
+	case r.Hash != o.Hash && r.Epoch != o.Epoch:
+		return r.Epoch > o.Epoch
+	default:
+		return r.Hash > o.Hash
 	}
-	return r.Hash > o.Hash
 }
 
-// Sum returns a hash over all fields that can be combined with others by exclusive or.
+// Sum returns a hash that can be combined with others by exclusive or. It covers all fields
+// except the epoch, in which processes with the same text may differ.
 func (r Ref) Sum() uint64 {
 	b := binary.BigEndian.AppendUint64([]byte(r.Key), r.Revision)
 	return siphash.Hash(1, 1, binary.BigEndian.AppendUint64(b, r.Hash))
--- a/internal/ledger/commands.go
+++ b/internal/ledger/commands.go
@@ -13,6 +13,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countAnomalies(ref)
+	l.renew(ref)
 	old, ok := l.accepted[e.Key]
 	if ok && !ref.Supersedes(old.ref) {
 		return Stale
@@ -27,15 +28,30 @@
 	return Accepted
 }
 
-// has reports whether exactly this entry is already in force or refused.
+// has reports whether this entry is already in force or refused, as read in the same epoch or
+// a later one.
 func (l *Ledger) has(ref entry.Ref) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if a, ok := l.accepted[ref.Key]; ok && a.ref == ref {
+	if a, ok := l.accepted[ref.Key]; ok && a.ref.SameText(ref) && a.ref.Epoch >= ref.Epoch {
 		return true
 	}
 	r, ok := l.refused[ref.Key]
-	return ok && r.ref == ref
+	return ok && r.ref.SameText(ref) && r.ref.Epoch >= ref.Epoch
+}
+
+// renew records the epoch of the ref if the same text is in force or refused as read in an
+// earlier one. This is no change of the content. The caller holds the lock.
+func (l *Ledger) renew(ref entry.Ref) {
+	if r, ok := l.refused[ref.Key]; ok && r.ref.SameText(ref) && r.ref.Epoch < ref.Epoch {
+		r.ref.Epoch, r.refusal.Entry.Epoch = ref.Epoch, ref.Epoch
+		l.refused[ref.Key] = r
+	}
+	if a, ok := l.accepted[ref.Key]; ok && a.ref.SameText(ref) && a.ref.Epoch < ref.Epoch {
+		a.ref.Epoch, a.entry.Epoch = ref.Epoch, ref.Epoch
+		l.accepted[ref.Key] = a
+		l.dropSuperseded(a.ref)
+	}
 }
 
 // countAnomalies counts an offer below the revision in force, or with another text under
@@ -78,11 +94,17 @@
 	l.index++
 	a.index = l.index
 	l.accepted[key] = a
-	if r, ok := l.refused[key]; ok && !r.ref.Supersedes(a.ref) {
+	l.dropSuperseded(a.ref)
+	l.notify()
+}
+
+// dropSuperseded drops the refused entry of a key if it does not supersede the one in force.
+// The caller holds the lock.
+func (l *Ledger) dropSuperseded(inForce entry.Ref) {
+	if r, ok := l.refused[inForce.Key]; ok && !r.ref.Supersedes(inForce) {
 		l.toggle(r.ref)
-		delete(l.refused, key)
+		delete(l.refused, inForce.Key)
 	}
-	l.notify()
 }
 
 // toggle adds a ref to the sum of its bucket, or removes it if it was added before.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -62,6 +62,29 @@
 	service := rapid.SampledFrom([]string{"pass", "portal"}).Draw(t, "service")
 	revision := rapid.Uint64Range(1, 4).Draw(t, "revision")
 	owner := rapid.SampledFrom([]string{"left", "right", ""}).Draw(t, "owner")
+	e := sectionOf(service, owner, revision)
+	e.Epoch = rapid.Uint64Range(0, 2).Draw(t, "epoch")
+	return e
+}
+
+// sectionOf returns a section, which is invalid without an owner.
+func sectionOf(service, owner string, revision uint64) entry.Entry {
 	raw := fmt.Sprintf(`{"service":%q,"owner":%q,"revision":%d,"addresses":["10.0.0.1:1"],"kinds":["once"],"limits":{}}`, service, owner, revision)
 	return entry.Entry{Key: entry.SectionPrefix + service, Revision: revision, Raw: []byte(raw)}
 }
+
+// TestRevisionIssuedAgain guards against a change that is never in force because it has the
+// revision of another text, which the platform has lost in a return from a backup.
+func TestRevisionIssuedAgain(t *testing.T) {
+	for _, owners := range [][2]string{{"left", "right"}, {"right", "left"}} {
+		l := NewLedger(clockwork.NewFakeClock())
+		for i, owner := range owners {
+			e := sectionOf("pass", owner, 5)
+			e.Epoch = uint64(i + 1)
+			l.Offer(e)
+		}
+		if s, _ := l.Section("pass"); s.Owner != owners[1] {
+			t.Errorf("owner %s of epoch 1 is in force, want %s of epoch 2", s.Owner, owners[1])
+		}
+	}
+}
--- a/internal/members/exchange.go
+++ b/internal/members/exchange.go
@@ -197,10 +197,10 @@
 
 // push offers the entries of a bucket that the remote side lacks.
 func (m *Members) push(ctx context.Context, c *rpc.Conn, bucket int, remote []entry.Ref) error {
-	has := lo.Keyify(remote)
+	has := lo.Keyify(lo.Map(remote, func(r entry.Ref, _ int) entry.Ref { return r.WithEpoch(0) }))
 	var keys []string
 	for _, r := range m.config.Ledger.Refs(bucket) {
-		if _, ok := has[r]; !ok {
+		if _, ok := has[r.WithEpoch(0)]; !ok {
 			keys = append(keys, r.Key)
 		}
 	}
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -45,6 +45,7 @@
 			backoff = 0
 		}
 		for _, e := range page.Entries {
+			e.Epoch = page.Epoch
 			w.Offer(e)
 		}
 		after = w.next(after, page)
