Let a silent server have one SYN at a time that would be refused

Callers: after a crash of the only server of a service, every new flow is refused although the server has restarted, until its agent restarts.

Cause: an agent learns that a server answers again only from a packet of the server. Once it holds the server for silent it refuses every SYN whose timeout is below the 60 s that it then expects, if no other candidate can admit the flow. Without open flows no packet reaches the server any more.

Other candidates still come first. If the server is down, that caller waits for its own retry instead of a refusal; the request cannot run.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -93,7 +93,7 @@
 	if !ready && !e.MustAdmit && !a.decline(e, flow, raw, rest, delay) {
 		return
 	}
-	if timeout := time.Duration(e.Class.TimeoutMillis) * time.Millisecond; !ready && timeout > 0 && delay >= timeout {
+	if timeout := time.Duration(e.Class.TimeoutMillis) * time.Millisecond; !ready && timeout > 0 && delay >= timeout && !a.mayProbe(now) {
 		a.refuse(e, p, delay, timeout)
 		return
 	}
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -85,6 +85,16 @@
 	return !a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) > silentTimeout
 }
 
+// mayProbe reports whether a SYN that would be refused is delivered instead, to find out whether
+// a silent server answers again: at most one each silentTimeout. It records the probe.
+func (a *Agent) mayProbe(now time.Time) bool {
+	if a.leaving || !a.silent(now) || now.Sub(a.probedAt) < silentTimeout {
+		return false
+	}
+	a.probedAt = now
+	return true
+}
+
 // logSilence logs when the server stops and starts answering.
 func (a *Agent) logSilence(now time.Time) {
 	silent := a.silent(now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -105,6 +105,9 @@
 	// unansweredSince is when the first packet after the server's latest one was delivered
 	// to it; zero if none was.
 	unansweredSince time.Time
+	// probedAt is when a SYN was last delivered to the silent server although its agent would
+	// refuse the flow.
+	probedAt time.Time
 	// wasSilent is whether the server was silent at the latest check.
 	wasSilent bool
 	// subscribers holds when each balancer last sent a packet or a ping.
