Test a balancer beside programs that do not know epochs

The test fails if balancers whose lists are of an unknown epoch count as readers (servers [a b] after 3s, want [a c]).

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -96,8 +96,31 @@
 	all   map[netip.AddrPort]*Directory
 	// cut holds the directories that exchange no digests.
 	cut map[netip.AddrPort]bool
+	// older holds the directories that act as programs which do not know epochs: their
+	// digests and lists state none, and the digests that they receive from others offer
+	// them no list.
+	older map[netip.AddrPort]bool
 }
 
+// withoutEpoch returns a source whose lists state no epoch.
+func (s Source) withoutEpoch() Source {
+	read := s.Servers
+	s.Servers = func(ctx context.Context) (catalog.Servers, []error, error) {
+		list, faults, err := read(ctx)
+		list.Epoch = 0
+		return list, faults, err
+	}
+	return s
+}
+
+// Layout of a digest, in bytes: the version of the routes and the revision of the servers lie
+// between versionOffset and ageOffset, the epoch at the end.
+const (
+	versionOffset = 2
+	ageOffset     = 18
+	epochLen      = 8
+)
+
 // connect determines whether a directory exchanges digests with others.
 func (f *fleet) connect(d *Directory, connected bool) {
 	f.mu.Lock()
@@ -112,7 +135,7 @@
 	}
 	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
 	_ = l.Close()
-	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory), cut: make(map[netip.AddrPort]bool)}
+	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory), cut: make(map[netip.AddrPort]bool), older: make(map[netip.AddrPort]bool)}
 }
 
 // start runs a directory on 127.0.0.n until the test ends.
@@ -125,6 +148,10 @@
 func (f *fleet) run(n byte, replica bool) (d *Directory, stop func()) {
 	ip := netip.AddrFrom4([4]byte{127, 0, 0, n})
 	self := netip.AddrPortFrom(ip, 7000)
+	source := f.store.source(ip)
+	if f.older[self] {
+		source = source.withoutEpoch()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d = NewDirectory(Config{
 		Self:        self,
@@ -135,14 +162,21 @@
 		Zone:        "a",
 		Seeds:       []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
 		Bounds:      bounds.Default(),
-		Source:      f.store.source(ip),
+		Source:      source,
 		Send: func(b []byte, to netip.AddrPort) {
 			f.mu.Lock()
 			to = netip.AddrPortFrom(to.Addr(), 7000)
 			other, cut := f.all[to], f.cut[self] || f.cut[to]
+			digest := slices.Clone(b)
+			if f.older[self] {
+				digest = digest[:len(digest)-epochLen]
+			}
+			if f.older[to] && !f.older[self] {
+				clear(digest[versionOffset:ageOffset])
+			}
 			f.mu.Unlock()
 			if other != nil && !cut {
-				other.HandleDigest(ctx, append([]byte(nil), b...), self)
+				other.HandleDigest(ctx, digest, self)
 			}
 		},
 		Changed: func(*catalog.Catalog, []Expired) {},
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -102,3 +102,38 @@
 		t.Errorf("%d calls by four balancers, want at most %d", calls, most)
 	}
 }
+
+// startOlder runs a directory that acts as a program which does not know epochs.
+func (f *fleet) startOlder(n byte) *Directory {
+	f.mu.Lock()
+	f.older[netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 7000)] = true
+	f.mu.Unlock()
+	return f.start(n)
+}
+
+// TestBesideOlderPrograms guards against a balancer that waits for older programs to read the
+// platform, whose lists it does not apply, or that applies a list which is frozen at them.
+func TestBesideOlderPrograms(t *testing.T) {
+	f := newFleet(t)
+	f.store.publish(1, 50, "a", "b")
+	for n := range byte(8) {
+		awaitServers(t, f.startOlder(n+1), changeBound, "a", "b")
+	}
+	f.store.publishAt(1, position.Position{Epoch: 1, Revision: 50}, "a", "b")
+	d := f.start(9)
+	for deadline := time.Now().Add(2 * changeBound); !d.Corroborated() || d.Catalog().Servers.Epoch == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("list of epoch %d, corroborated %t", d.Catalog().Servers.Epoch, d.Corroborated())
+		}
+	}
+	f.store.publishAt(1, position.Position{Epoch: 1, Revision: 51}, "a", "c")
+	awaitServers(t, d, changeBound, "a", "c")
+	for n := range byte(8) {
+		f.store.refuse(netip.AddrFrom4([4]byte{127, 0, 0, n + 1}), true)
+	}
+	f.store.publishAt(1, position.Position{Epoch: 2, Revision: 10}, "a", "d")
+	awaitServers(t, d, changeBound, "a", "d")
+	for end := time.Now().Add(changeBound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		awaitServers(t, d, 0, "a", "d")
+	}
+}
