--- a/internal/platform/watcher_test.go
+++ b/internal/platform/watcher_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -58,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p, w := lab.NewPlatform(), &watched{revisions: make(map[string]uint64)}
 	watcher := platform.Watcher{
-		Changes: platform.NewClient("http://" + netip.AddrPort(address).String()).Changes,
+		Changes: platform.NewClient("http://" + address.String()).Changes,
 		Offer:   w.offer, Clock: clockwork.NewRealClock(), Log: zerolog.Nop(),
 	}
 	var tasks sync.WaitGroup
