Keep the present server of an address when a backup lists the former one

Callers: a session is reset although its server runs, if its packet reaches a balancer that does not know the flow while the store lists the former server of that address.

Cause: found by checking what the restored content itself does, once lists are applied again. An address may have been given to another service shortly before the fault. The backup lists its former server and lacks the present one; the former one took the place of the present one, which then was no longer among the agents of its service, so a search of all others proved that nobody holds the flow. An expired entry that another balancer sends did not help, because the place was taken.

Change: of two servers at an address the one that started later is present, in whichever order they are listed, until it has been missing for 2.5 s; an entry returns within 2 s, that of the former one expires after 2.3 s.

Evidence: the scripts formerServerOfBackup and formerServerOfBackupAtStart of the selection; both failed before (1 agent searched instead of 2, and the search called complete).

One script changes: in powerLossWhilePlatformIsDown the server that has run for longer is now number 3 instead of number 2 with an earlier start. The same server with an earlier start is a former one now; the check that a server which has run for longer is noticed is the same.

--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -4,6 +4,7 @@
 package selection
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -163,6 +164,7 @@
 // listed are removed after the retention period.
 func (s *Selection) Update(servers catalog.Servers, now time.Time) {
 	listed := s.newestByAddress(servers)
+	maps.DeleteFunc(listed, s.former)
 	for address, v := range listed {
 		s.setListed(address, v, now)
 	}
@@ -183,10 +185,11 @@
 }
 
 // Expire adds a server whose entry in the list expired at the given time, unless an agent
-// at its address is stored already. This balancer may never have read the entry.
+// at its address is stored already, of a server that started later or after that entry has had
+// time to return. This balancer may never have read the entry.
 func (s *Selection) Expire(v catalog.Server, since time.Time) {
 	address := netip.AddrPortFrom(v.Address, s.port)
-	if s.agents[address] != nil {
+	if a := s.agents[address]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
 		return
 	}
 	s.setListed(address, v, since)
@@ -207,6 +210,14 @@
 	return listed
 }
 
+// former reports whether a listed server is a former one at its address: a server that started
+// later was listed there a moment ago. The platform lists it again after a return from a
+// backup, until its entry expires; that of the present one returns sooner.
+func (s *Selection) former(address netip.AddrPort, v catalog.Server) bool {
+	a := s.agents[address]
+	return a != nil && v.Born < a.Server.Born && s.unlistedFor(a) < removedAfter
+}
+
 // setListed stores the entry of a listed server. A server that has restarted, or has
 // replaced another at its address, gets a new agent without reports.
 func (s *Selection) setListed(address netip.AddrPort, v catalog.Server, now time.Time) {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -28,7 +28,8 @@
 
 // TestSelection runs scripts of lists, reports and pauses, and prints what is selected.
 // "servers" reads a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
-// [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N.
+// [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N. "expired" adds
+// such servers as expired now.
 func TestSelection(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
@@ -45,6 +46,11 @@
 				revision++
 				s.Update(catalog.NewServers(position.Position{Revision: revision}, readServers(t, d)), now)
 				return ""
+			case "expired":
+				for _, v := range readServers(t, d) {
+					s.Expire(v, now)
+				}
+				return ""
 			case "report":
 				s.RecordReport(serverAddress(d.CmdArgs[0].Key), readLoad(t, d), now)
 				return ""
