--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -104,6 +104,9 @@
 // start starts the process with an empty cache and without a catalog.
 func (b *balancerVM) start() {
 	l := b.lab
+	if !lo.ContainsBy(l.balancers, func(o *balancerVM) bool { return o.up && o != b }) {
+		l.servingSince = l.clock.Now()
+	}
 	b.epoch++
 	b.up, b.routedUntil, b.disturbedAt = true, time.Time{}, l.clock.Now()
 	b.firstReadAt, b.readAt, b.everListed = time.Time{}, time.Time{}, make(map[string]catalog.Server)
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,6 +74,8 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
+	// servingSince is when a balancer last started while no other ran.
+	servingSince time.Time
 	// failedFlows holds the flows on which a request ended without an answer, in order.
 	failedFlows []packet.Flow
 	nextIP      int
