Index the servers again only when their position has changed

A digest that confirms the list in force replaced the catalog, and so indexed the servers again, even if its position was the same; some 20 times a second at a balancer and at a replica.

Change: only a later position replaces the catalog.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -96,12 +96,9 @@
 	return Servers{Position: at, List: list}
 }
 
-// WithPosition returns the same list as read at a later position, or s itself if the position
-// is earlier.
+// WithPosition returns the same list as read at another position.
 func (s Servers) WithPosition(at position.Position) Servers {
-	if s.Before(at) {
-		s.Position = at
-	}
+	s.Position = at
 	return s
 }
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -138,7 +138,9 @@
 	readAt := now.Add(-f.Age)
 	if f.Sum == d.sum && f.Revision > 0 && readAt.After(d.readAt) {
 		d.readAt = readAt
-		d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
+		if c.Servers.Before(f.Position) {
+			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
+		}
 	}
 	newer := f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt)
 	d.peerCorroborated = d.peerCorroborated || f.Corroborated
