Count only requests sent between the stop of the last balancer and the next start

The recovery of a soak left out every unserved request that was sent before the first balancer started again, also those that were sent while balancers still ran. Now only those sent in the outage itself are left out.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -104,8 +104,8 @@
 // start starts the process with an empty cache and without a catalog.
 func (b *balancerVM) start() {
 	l := b.lab
-	if !lo.ContainsBy(l.balancers, func(o *balancerVM) bool { return o.up && o != b }) {
-		l.servingSince = l.clock.Now()
+	if !l.anyBalancerUp(b) {
+		l.outageUntil = l.clock.Now()
 	}
 	b.epoch++
 	b.up, b.routedUntil, b.disturbedAt = true, time.Time{}, l.clock.Now()
@@ -187,12 +187,20 @@
 	}
 }
 
+// anyBalancerUp reports whether a balancer other than b runs.
+func (l *Lab) anyBalancerUp(b *balancerVM) bool {
+	return lo.ContainsBy(l.balancers, func(o *balancerVM) bool { return o.up && o != b })
+}
+
 // stop ends the process. Unless the balancer has left the rotation before, the fabric keeps
 // routing packets to it for probeDelay.
 func (b *balancerVM) stop() {
 	b.up = false
 	b.epoch++
 	b.disturbedAt = b.lab.clock.Now()
+	if !b.lab.anyBalancerUp(b) {
+		b.lab.outageFrom = b.disturbedAt
+	}
 	if b.lab.real != nil {
 		b.lab.real.kill(b.vm)
 	}
--- a/internal/lab/packetlab/caller.go
+++ b/internal/lab/packetlab/caller.go
@@ -316,7 +316,7 @@
 func (c *caller) recordFailure(r *request, f *callerFlow) {
 	r.ended = true
 	c.lab.tally.Failed++
-	if r.sent.Before(c.lab.servingSince) {
+	if !r.sent.Before(c.lab.outageFrom) && r.sent.Before(c.lab.outageUntil) {
 		c.lab.tally.Outage++
 	}
 	r.done(f)
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,8 +74,9 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
-	// servingSince is when a balancer last started while no other ran.
-	servingSince time.Time
+	// outageFrom and outageUntil are when the last running balancer latest stopped, and when
+	// one then started.
+	outageFrom, outageUntil time.Time
 	// failedFlows holds the flows on which a request ended without an answer, in order.
 	failedFlows []packet.Flow
 	nextIP      int
