--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -239,8 +239,8 @@
 	return d.readAt
 }
 
-// applyServers replaces the servers in force unless s is from an earlier position. age is the time since
-// the platform was called for them.
+// applyServers replaces the servers in force unless s is from an earlier position. age is the
+// time since the platform was called for them.
 func (d *Directory) applyServers(s catalog.Servers, age time.Duration, from string) {
 	sum := s.Sum()
 	d.mu.Lock()
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -78,7 +78,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.epoch++
-	p.history = p.history[:max(len(p.history)-lost, 0):max(len(p.history)-lost, 0)]
+	kept := max(len(p.history)-lost, 0)
+	p.history = p.history[:kept:kept]
 	p.notifyReaders()
 }
 
