--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -57,6 +57,9 @@
 	Alternate bool `json:"alternate"`
 	// DelayMs delays every answer, in milliseconds.
 	DelayMs int `json:"delayMs"`
+	// Restore is the number of the latest entries that are lost when the faults are set: the
+	// service returns from a backup that lacks them. 0 leaves the entries.
+	Restore int `json:"restore"`
 }
 
 // NewPlatform returns a service without entries.
@@ -72,15 +75,12 @@
 	p.notifyReaders()
 }
 
-// Restore makes the service return from a backup that lacks the latest lost entries. Later
-// entries get indexes that it may have issued before.
-func (p *Platform) Restore(lost int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// restore makes the service return from a backup that lacks the latest lost entries. Later
+// entries get indexes that it may have issued before. The caller holds the lock.
+func (p *Platform) restore(lost int) {
 	p.epoch++
 	kept := max(len(p.history)-lost, 0)
 	p.history = p.history[:kept:kept]
-	p.notifyReaders()
 }
 
 // SetFaults replaces the faults, also for the waiting calls.
@@ -90,6 +90,9 @@
 	if !p.faults.Stale && !p.faults.Alternate {
 		p.staleLen = len(p.history)
 	}
+	if f.Restore > 0 {
+		p.restore(f.Restore)
+	}
 	p.faults = f
 	p.notifyReaders()
 }
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -53,10 +53,12 @@
 }
 
 // setPlatformFaults sets the faults of the platform: platform [down] [stale] [alternate]
-// [delay=ms]. It clears the faults that are not named.
+// [delay=ms]. It clears the faults that are not named. restore=N returns the platform from a
+// backup that lacks the latest N entries.
 func (s *system) setPlatformFaults(d *datadriven.TestData) string {
 	f := platform.Faults{Down: d.HasArg("down"), Stale: d.HasArg("stale"), Alternate: d.HasArg("alternate")}
 	d.MaybeScanArgs(s.t, "delay", &f.DelayMs)
+	d.MaybeScanArgs(s.t, "restore", &f.Restore)
 	s.sendPlatformFaults(f)
 	return "ok"
 }
