--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -19,6 +19,7 @@
 	"leaving-balancer": {"FLOW", leavingBalancer},
 	"foreign-service":  {"FLOW", foreignService},
 	"foreign-fields":   {"DRAIN", foreignFields},
+	"lost-readers":     {"DRAIN", lostReaders},
 }
 
 // Services of the deployment.
@@ -124,14 +125,7 @@
 		})
 		l.record("another writer has written servers/inventory-1, without zone, version, warmup_left_ms and sequence, with the address of %s", e.id)
 	}
-	l.onOpening(func(at *endpoint, key flowKey) {
-		if at != e || e.drainAcked.IsZero() {
-			return
-		}
-		if late := time.Since(e.drainAcked); late > drainBound {
-			l.breach("DRAIN", "the opening packet of %s reached endpoint %s %d ms after the store had acknowledged that it drains", key, e.id, late.Milliseconds())
-		}
-	})
+	l.onOpening(l.checkDrain)
 	drain, leave, end := time.After(4*time.Second), time.After(11*time.Second), time.After(14*time.Second)
 	for {
 		select {
@@ -147,6 +141,16 @@
 	}
 }
 
+// checkDrain records an opening packet that reaches a draining endpoint after the bound.
+func (l *lab) checkDrain(e *endpoint, key flowKey) {
+	if e.drainAcked.IsZero() {
+		return
+	}
+	if late := time.Since(e.drainAcked); late > drainBound {
+		l.breach("DRAIN", "the opening packet of %s reached endpoint %s %d ms after the store had acknowledged that it drains", key, e.id, late.Milliseconds())
+	}
+}
+
 // leavingBalancer: endpoints are replaced one after the other, and two balancers of a zone are
 // restarted, one shortly after the other.
 func leavingBalancer(l *lab, trouble bool) {
@@ -197,3 +201,57 @@
 	close(done)
 	wg.Wait()
 }
+
+// lostReaders: right after the store has acknowledged that an endpoint drains, nine of ten
+// balancers lose power for darkTime. The one that is left is that of the clients' zone.
+func lostReaders(l *lab, trouble bool) {
+	const others = 9
+	l.publish(map[netip.AddrPort]string{l.sessionAddress(): sessions, l.portalAddress(): portal})
+	for n := byte(1); n <= others; n++ {
+		l.startBalancer(n, farZone, l.seeds())
+	}
+	l.startBalancer(others+1, zone, l.seeds())
+	l.router.add(l.ip(1, others+1))
+	var live []*endpoint
+	for n := byte(1); n <= 4; n++ {
+		live = append(live, l.addEndpoint(n, fmt.Sprintf("i-session%d", n), sessions, l.seeds()))
+	}
+	l.waitReady(1)
+	l.onOpening(l.checkDrain)
+	c := startClient(l, l.ip(3, 1))
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(15 * time.Millisecond):
+				c.open(l.sessionAddress(), 300*time.Millisecond, 4)
+			}
+		}
+	})
+	time.Sleep(contact + time.Second)
+	for n := byte(10); n < 18; n++ {
+		live = append(live, l.addEndpoint(n, fmt.Sprintf("i-session%d", n), sessions, l.seeds()))
+		time.Sleep(contact)
+		e := live[0]
+		live = live[1:]
+		e.drain()
+		if trouble {
+			for k := byte(1); k <= others; k++ {
+				l.kill(fmt.Sprintf("front-%d", k))
+			}
+		}
+		time.Sleep(darkTime)
+		if trouble {
+			for k := byte(1); k <= others; k++ {
+				l.startBalancer(k, farZone, l.seeds())
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		l.removeEndpoint(e)
+	}
+	close(done)
+	wg.Wait()
+}
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -29,6 +29,8 @@
 	graceTime   = 6 * time.Second
 	maxFlow     = 60 * time.Second
 	restartTime = 300 * time.Millisecond
+	// darkTime is how long machines that lose power are down.
+	darkTime = 3500 * time.Millisecond
 )
 
 // ports holds the ports of the deployment, which are the same on all machines.
@@ -301,6 +303,16 @@
 	l.record("process %s ended", name)
 }
 
+// kill ends a process as a loss of power does.
+func (l *lab) kill(name string) {
+	l.mu.Lock()
+	p := l.processes[name]
+	l.mu.Unlock()
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	l.record("process %s killed", name)
+}
+
 // close ends all processes that the lab started.
 func (l *lab) close() {
 	l.mu.Lock()
