Reset a flow only on evidence that no server can hold it

Cause of the class: the last agent of a search path reset the flow if the balancer called its list complete. That flag said nothing about the age of the list, and covered only the services that the route names now.

Change: internal/absence states the evidence that a reset needs, and only the balancer judges it. The list must have been read after the first packet of the flow, which proves that its server was registered before; all agents must have denied the flow, whatever their service; nobody may be silent, hidden by the platform, or just expired. Otherwise nothing is sent, and the flow is judged again every 100 ms without another search. readAt is set only after the list has reached the data plane, whose updates are now in order. Searches log the doubt, and count it.

On the former code the new tests fail: TestFlowOfNewServer 20 resets, TestFlowOfOtherService 2.

Tests that expected the reset at the end of the path now expect none before the list is read again, and one after it; TestSearchIsRepeated repeats the query only if agents have changed, since the former answers stay valid. The flags complete and partial leave the envelope; older programs treat their absence as a search that proves nothing.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -76,12 +76,17 @@
 	// catalog is never nil; it is replaced, never modified.
 	catalog atomic.Pointer[catalog.Catalog]
 
+	// changes serializes the calls of Changed, so that the last one passes the newest catalog.
+	changes sync.Mutex
+
 	mu sync.Mutex
 	// firstReadAt and readAt are the times at which the first catalog and the one in
-	// force were read from the platform, by this balancer or another one.
+	// force were read from the platform, by this balancer or another one. Changed has returned
+	// for every list of servers read until readAt.
 	firstReadAt, readAt time.Time
-	// sum is the hash of the servers in the catalog.
-	sum uint64
+	// sum is the hash of the servers in the catalog, passedSum that of the servers that were
+	// last passed to Changed.
+	sum, passedSum uint64
 	// history holds former catalogs that other directories may still have.
 	history history
 	// members holds the other balancers; the zero member for those that only the digests or
@@ -202,10 +207,15 @@
 
 // changed passes the catalog and the expired servers to the Changed callback.
 func (d *Directory) changed() {
+	d.changes.Lock()
+	defer d.changes.Unlock()
 	d.mu.Lock()
-	c, expired := d.catalog.Load(), lo.Values(d.expired)
+	c, sum, expired := d.catalog.Load(), d.sum, lo.Values(d.expired)
 	d.mu.Unlock()
 	d.config.Changed(c, expired)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.passedSum = sum
 }
 
 // Corroborated reports whether the list holds every server that may run: either a
@@ -243,6 +253,7 @@
 // time since the platform was called for them.
 func (d *Directory) applyServers(s catalog.Servers, age time.Duration, from string) {
 	sum := s.Sum()
+	at := d.config.Clock.Now().Add(-age)
 	d.mu.Lock()
 	before := d.catalog.Load()
 	if s.Before(before.Servers.Position) {
@@ -263,12 +274,6 @@
 	d.updateExpired(before.Servers.List, s.List)
 	d.sum = sum
 	d.history.addServers(next.Servers, sum)
-	if at := d.config.Clock.Now().Add(-age); at.After(d.readAt) {
-		d.readAt = at
-	}
-	if d.firstReadAt.IsZero() {
-		d.firstReadAt = d.readAt
-	}
 	d.mu.Unlock()
 	if former := before.Servers.Position; former.Epoch > 0 && s.Epoch > former.Epoch {
 		d.config.Log.Warn("platformRestored").Uint64("epoch", s.Epoch).Uint64("revision", s.Revision).
@@ -279,6 +284,19 @@
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
 	}
 	d.changed()
+	d.recordReading(at)
+}
+
+// recordReading records that the servers in force were read at the given time.
+func (d *Directory) recordReading(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.readAt) {
+		d.readAt = at
+	}
+	if d.firstReadAt.IsZero() {
+		d.firstReadAt = d.readAt
+	}
 }
 
 // updateExpired records the servers that are in the former list only, and drops those
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -136,7 +136,7 @@
 	}
 	c := d.catalog.Load()
 	readAt := now.Add(-f.Age)
-	if f.Sum == d.sum && f.Revision > 0 && readAt.After(d.readAt) {
+	if f.Sum == d.sum && d.sum == d.passedSum && f.Revision > 0 && readAt.After(d.readAt) {
 		d.readAt = readAt
 		if c.Servers.Before(f.Position) {
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -217,7 +217,7 @@
 		a.deliver(e, p, rest, now)
 		return
 	}
-	a.forwardNotHeld(e, p, raw, rest)
+	a.forwardNotHeld(e, flow, raw, rest)
 }
 
 // handleQuery answers the query of a balancer which of some flows the server holds.
@@ -265,11 +265,9 @@
 }
 
 // forwardNotHeld handles a packet whose flow the server does not hold: it forwards the
-// packet along the search path, or returns it to its balancer. Each agent that forwards it
-// has found that its server does not hold the flow. So after the last one of all agents of
-// the service no server holds it, and the caller receives a reset.
-func (a *Agent) forwardNotHeld(e *steer.Envelope, p packet.Packet, raw, rest []byte) {
-	flow := p.FlowFromCaller()
+// packet along the search path, or returns it to its balancer. The last agent of the path
+// notifies the balancer, which alone determines whether no server holds the flow.
+func (a *Agent) forwardNotHeld(e *steer.Envelope, flow packet.Flow, raw, rest []byte) {
 	if !e.Cached && a.forwardToNext(e, raw, rest) {
 		return
 	}
@@ -278,11 +276,6 @@
 		return
 	}
 	a.sendNotFound(e, flow, !e.Direct)
-	if e.Complete && !p.Reset {
-		a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").
-			Uint8("page", e.Page).Uint8("agentsAsked", e.Count).Send()
-		a.reset(flow, p.AckSeq)
-	}
 }
 
 // returnPacket returns a packet to its balancer, which searches for the flow.
@@ -298,7 +291,7 @@
 func (a *Agent) sendNotFound(e *steer.Envelope, flow packet.Flow, searched bool) {
 	a.counts.NotFound.Add(1)
 	var b [steer.NotFoundLen]byte
-	steer.NotFoundNotice{Flow: flow, Complete: e.Complete, Searched: searched, Attempt: e.Attempt, ListVersion: e.ListVersion}.Put(b[:])
+	steer.NotFoundNotice{Flow: flow, Searched: searched, Attempt: e.Attempt, ListVersion: e.ListVersion}.Put(b[:])
 	a.Send(b[:], e.Balancer)
 }
 
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -129,7 +129,7 @@
 	case !found:
 		a.counts.NotFound.Add(1)
 	case !p.Syn:
-		a.forwardNotHeld(&e, p, nil, raw)
+		a.forwardNotHeld(&e, flow, nil, raw)
 	case a.forwardSyn(&e, flow, nil, raw):
 		a.sendNotFound(&e, flow, false)
 	}
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -6,9 +6,11 @@
 
 	"github.com/samber/lo"
 
+	"github.com/bergamotgw/bergamotgw/internal/absence"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/census"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/selection"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -43,24 +45,48 @@
 	route  *catalog.Route
 	// envelope holds the fields that all datagrams of the search have in common.
 	envelope steer.Envelope
+	// openSince is when the first packet of the flow arrived that only an open flow sends.
+	openSince time.Time
 	// receivedAt is when the packet arrived, searchedAt when the latest search began.
 	receivedAt, searchedAt time.Time
+	// queried is the latest query about the flow, and denied the latest one after which all
+	// queried agents have denied the flow.
+	queried, denied queryTarget
+	// doubt is the reason why the flow was not reset when that was last determined.
+	doubt absence.Doubt
 	// retries counts the searches that the balancer repeated on its own since the packet
 	// arrived.
 	retries int
 	// searching is true from the query until the search has ended or timed out.
 	searching bool
-	// remaining holds the agents that answered Unknown and that the packet has still to visit.
-	remaining []netip.AddrPort
+	// remaining holds the agents that answered Unknown and that the packet has still to visit;
+	// onUnknownPath is true while the packet visits them.
+	remaining     []netip.AddrPort
+	onUnknownPath bool
+	// unsure is true if an agent that the packet does not visit cannot tell whether its server
+	// holds the flow.
+	unsure bool
+}
+
+// queryTarget states when a query was sent, and to which agents.
+type queryTarget struct {
+	at      time.Time
+	holders selection.Holders
+}
+
+// recordDenied records that all agents that the latest query went to have denied the flow.
+func (f *searchedFlow) recordDenied() {
+	if !f.unsure {
+		f.denied = f.queried
+	}
 }
 
 // flowQuery is a query that is open, with its result so far and the flows that it is about.
 type flowQuery struct {
 	*census.QueryResult
 	flows []*searchedFlow
-	// partial is true if an agent that does not answer may hold the flows, or if the list of
-	// servers may be incomplete.
-	partial bool
+	// others holds the agents of services that the route of the flows does not name.
+	others map[netip.AddrPort]bool
 }
 
 // queries holds the flows that a balancer searches, and its queries about them.
@@ -95,19 +121,29 @@
 	case f == nil && len(b.queries.byFlow) >= maxSearchedFlows:
 		return
 	}
-	b.queries.byFlow[flow] = &searchedFlow{
-		flow: flow, packet: p, raw: append([]byte(nil), buf[steer.MaxLen:]...), route: route, envelope: e, receivedAt: now, searchedAt: now,
+	next := &searchedFlow{
+		flow: flow, packet: p, raw: append([]byte(nil), buf[steer.MaxLen:]...), route: route, envelope: e,
+		openSince: now, receivedAt: now, searchedAt: now,
+	}
+	if f != nil {
+		next.openSince, next.denied, next.doubt = f.openSince, f.denied, f.doubt
 	}
+	b.queries.byFlow[flow] = next
 }
 
-// queryFlow queries all agents about a flow that is searched, together with the other flows that
-// become unknown within queryInterval.
+// denied reports whether all agents that answer have denied a flow. The caller holds the lock.
+func (b *Balancer) denied(f *searchedFlow, now time.Time) bool {
+	return now.Sub(f.denied.at) <= notHeldRetention && b.selection.AllListed(f.denied.holders)
+}
+
+// queryFlow queries all agents about a flow that is searched, unless they have denied it, together
+// with the other flows that become unknown within queryInterval.
 func (b *Balancer) queryFlow(flow packet.Flow) {
 	now := b.config.Clock.Now()
 	b.mu.Lock()
 	q := &b.queries
 	f := q.byFlow[flow]
-	if f == nil || f.searching {
+	if f == nil || f.searching || b.denied(f, now) {
 		b.mu.Unlock()
 		return
 	}
@@ -123,7 +159,6 @@
 // sendQueries sends the queries about the pending flows. Flows of the same route share queries.
 func (b *Balancer) sendQueries() {
 	now := b.config.Clock.Now()
-	corroborated, noCorroboratedPeer := b.config.Corroborated(), b.config.NoCorroboratedPeer()
 	b.mu.Lock()
 	q := &b.queries
 	pending := q.pending
@@ -132,39 +167,39 @@
 	for _, route := range lo.Uniq(lo.Map(pending, func(f *searchedFlow, _ int) *catalog.Route { return f.route })) {
 		flows := lo.Filter(pending, func(f *searchedFlow, _ int) bool { return f.route == route })
 		for _, chunk := range lo.Chunk(flows, steer.MaxQueried) {
-			b.sendQuery(route, chunk, corroborated, noCorroboratedPeer, now)
+			b.sendQuery(route, chunk, now)
 		}
 	}
 }
 
-// sendQuery queries the agents that a route leads to about some of its flows. Agents that do not
-// answer pings receive copies of the packets instead.
-func (b *Balancer) sendQuery(route *catalog.Route, flows []*searchedFlow, corroborated, noCorroboratedPeer bool, now time.Time) {
+// sendQuery queries all agents about some flows of a route. Agents of the route that do not answer
+// pings receive copies of the packets instead.
+func (b *Balancer) sendQuery(route *catalog.Route, flows []*searchedFlow, now time.Time) {
 	b.mu.Lock()
 	q := &b.queries
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flows[0].flow)
-	services := route.Services(hash)
-	holders := b.selection.Holders(hash, services, now)
+	holders := b.selection.Holders(hash, route.Services(hash), now)
+	agents := append(holders.Agents, holders.Others...)
 	q.lastID++
 	id := q.lastID
 	query := &flowQuery{
-		QueryResult: census.NewQueryResult(len(flows), holders.Agents, now), flows: flows,
-		partial: holders.SilentMayHold || !b.listComplete(services, corroborated, noCorroboratedPeer),
+		QueryResult: census.NewQueryResult(len(flows), agents, now), flows: flows,
+		others: toSet(holders.Others),
 	}
 	for _, f := range flows {
-		f.envelope.Partial, f.envelope.ListVersion = query.partial, holders.ListVersion
+		f.queried, f.envelope.ListVersion = queryTarget{now, holders}, holders.ListVersion
 	}
 	q.open[id] = query
 	b.mu.Unlock()
 	b.counts.Queried.Add(uint64(len(flows)))
 	b.config.Log.Info("flowsAsked").Int("flows", len(flows)).Stringer("first", flows[0].flow).
-		Int("agents", len(holders.Agents)).Int("silentAgents", len(holders.Silent)).Bool("partial", query.partial).Send()
+		Int("agents", len(agents)).Int("silentAgents", len(holders.Silent)).Send()
 	var raw [steer.QueryMaxLen]byte
 	n := steer.PutQuery(raw[:], id, lo.Map(flows, func(f *searchedFlow, _ int) steer.QueriedFlow {
 		return steer.QueriedFlow{Flow: f.flow, Ack: f.packet.Ack, AckSeq: f.packet.AckSeq}
 	}))
-	for _, a := range holders.Agents {
+	for _, a := range agents {
 		b.Send(raw[:n], a)
 	}
 	for _, f := range flows {
@@ -213,8 +248,8 @@
 	}
 }
 
-// endQuery ends a query: it resets flows that no agent can hold, and sends the packets of others
-// along the agents that answered Unknown.
+// endQuery ends a query: it resolves flows that all agents have denied, and sends the packets of
+// others along the agents that answered Unknown.
 func (b *Balancer) endQuery(id uint32) {
 	b.mu.Lock()
 	query, open := b.queries.open[id]
@@ -224,43 +259,33 @@
 		return
 	}
 	for n, f := range query.flows {
-		if query.Found(n) {
-			continue
-		}
-		unknown := query.PossibleHolders(n)
-		b.mu.Lock()
-		f.remaining = unknown
-		retried := f.retries > 0
-		b.mu.Unlock()
-		switch {
-		case len(unknown) == 0:
-			b.endNotHeld(f)
-		case retried:
-			b.endInconclusive(f)
-		default:
-			b.searchUnknown(f)
+		if !query.Found(n) {
+			b.endUnfound(f, query.PossibleHolders(n), query.others)
 		}
 	}
 }
 
-// endNotHeld ends the search for a flow that no agent which answered holds: it resets the flow
-// if all agents answered, and otherwise records the result.
-func (b *Balancer) endNotHeld(f *searchedFlow) {
+// endUnfound ends the query about a flow that no agent holds for certain. possible are the agents
+// that have not denied it, some of them among the others.
+func (b *Balancer) endUnfound(f *searchedFlow, possible []netip.AddrPort, others map[netip.AddrPort]bool) {
+	unknown := lo.Reject(possible, func(a netip.AddrPort, _ int) bool { return others[a] })
 	b.mu.Lock()
-	e := f.envelope
-	f.searching = false
-	if !e.Partial {
-		delete(b.queries.byFlow, f.flow)
+	f.remaining, f.unsure = unknown, len(unknown) < len(possible)
+	retried, e := f.retries > 0, f.envelope
+	if len(unknown) == 0 {
+		f.searching = false
+		f.recordDenied()
 	}
 	b.mu.Unlock()
-	if e.Partial {
+	switch {
+	case len(unknown) == 0:
 		b.recordNotHeld(steer.NotFoundNotice{Flow: f.flow, Searched: true, Attempt: e.Attempt, ListVersion: e.ListVersion})
-		return
-	}
-	if entry, known := b.cache.Get(f.flow); known && entry.agent.IsValid() || f.packet.Reset {
-		return
+		b.resolve(f.flow)
+	case retried:
+		b.endInconclusive(f)
+	default:
+		b.searchUnknown(f)
 	}
-	b.resetNotHeld(f.flow, f.packet, e.Attempt)
 }
 
 // searchUnknown sends the packet of a flow along the next page of agents that answered Unknown,
@@ -276,17 +301,19 @@
 		c := steer.Candidate{Agent: a.Address, Slots: a.Server.Slots}
 		if b.selection.Suspect(a.Address, now) {
 			skipped = append(skipped, c)
-			f.envelope.Partial, e.Partial = true, true
 			continue
 		}
 		e.Append(c)
 	}
 	e.More = len(f.remaining) > 0
-	e.Complete = !e.More && !e.Partial
+	f.searching, f.onUnknownPath = e.Count > 0, e.Count > 0
+	if e.Count == 0 {
+		f.recordDenied()
+	}
 	b.mu.Unlock()
 	b.sendDirectCopies(e, skipped, f.buffer())
 	if e.Count == 0 {
-		b.endNotHeld(f)
+		b.resolve(f.flow)
 		return
 	}
 	b.counts.Searches.Add(1)
@@ -316,18 +343,11 @@
 	}
 }
 
-// conclusive reports whether a search for a flow can prove that no agent holds it. The caller
-// holds the lock.
-func (b *Balancer) conclusive(f *searchedFlow, corroborated, noCorroboratedPeer bool, now time.Time) bool {
-	services := f.route.Services(b.selection.Hash(f.flow))
-	return b.listComplete(services, corroborated, noCorroboratedPeer) && !b.selection.AnySilentMayHold(services, now)
-}
-
 // maintainSearches sends pending queries, ends those that agents have not answered within
-// answerTimeout, and repeats the search for flows whose callers have not repeated their packet.
+// answerTimeout, resets flows that are now proved to be held by no server, and repeats the search
+// for flows whose callers have not repeated their packet.
 func (b *Balancer) maintainSearches(now time.Time) {
 	var expired []uint32
-	corroborated, noCorroboratedPeer := b.config.Corroborated(), b.config.NoCorroboratedPeer()
 	b.mu.Lock()
 	q := &b.queries
 	pending := len(q.pending) > 0
@@ -336,7 +356,7 @@
 			expired = append(expired, id)
 		}
 	}
-	due := b.dueForRetry(corroborated, noCorroboratedPeer, now)
+	searched := len(q.byFlow) > 0
 	b.mu.Unlock()
 	if pending {
 		b.sendQueries()
@@ -344,37 +364,56 @@
 	for _, id := range expired {
 		b.endQuery(id)
 	}
-	for _, f := range due {
-		if entry, _ := b.cache.Get(f); !entry.agent.IsValid() {
-			b.queryFlow(f)
-		}
+	if searched {
+		b.reviewSearches(now)
 	}
 }
 
-// dueForRetry removes flows whose latest packet is older than searchRetention, and returns those
-// whose search is to be repeated: the former search was interrupted or could prove nothing, and
-// a further one can. The caller holds the lock.
-func (b *Balancer) dueForRetry(corroborated, noCorroboratedPeer bool, now time.Time) []packet.Flow {
+// reviewSearches judges the flows that are searched by the present evidence, and repeats the
+// search for those about which a further one can prove something.
+func (b *Balancer) reviewSearches(now time.Time) {
+	common := b.commonEvidence(now)
 	var due []packet.Flow
-	conclusive := make(map[*catalog.Route]bool)
+	proved := make(map[*searchedFlow]absence.Evidence)
+	b.mu.Lock()
 	for flow, f := range b.queries.byFlow {
 		if f.searching && now.Sub(f.searchedAt) >= answerTimeout+searchTimeout {
-			f.searching = false
+			f.searching, f.onUnknownPath = false, false
 		}
+		e := b.evidence(f, common, now)
 		switch {
 		case now.Sub(f.receivedAt) >= searchRetention:
 			delete(b.queries.byFlow, flow)
-			continue
-		case f.searching || f.retries >= maxRetries || now.Sub(f.searchedAt) < retryInterval:
-			continue
-		}
-		if _, known := conclusive[f.route]; !known {
-			conclusive[f.route] = b.conclusive(f, corroborated, noCorroboratedPeer, now)
-		}
-		if conclusive[f.route] {
+		case f.searching:
+		case b.judge(f, e):
+			proved[f] = e
+		case f.dueForRetry(e, now):
 			f.retries++
 			due = append(due, flow)
 		}
 	}
-	return due
+	b.mu.Unlock()
+	for f, e := range proved {
+		b.resetNotHeld(f, e)
+	}
+	for _, f := range due {
+		if entry, _ := b.cache.Get(f); !entry.agent.IsValid() {
+			b.queryFlow(f)
+		}
+	}
+}
+
+// dueForRetry reports whether the balancer repeats the search for a flow on its own: the former
+// one was interrupted or some agents have changed since, and a further one can prove something.
+func (f *searchedFlow) dueForRetry(e absence.Evidence, now time.Time) bool {
+	if e.AllDenied || f.retries >= maxRetries || now.Sub(f.searchedAt) < retryInterval {
+		return false
+	}
+	e.AllDenied = true
+	return e.Doubt() == absence.None || e.Doubt() == absence.StaleList
+}
+
+// toSet returns the elements of a list as the keys of a map.
+func toSet[T comparable](list []T) map[T]bool {
+	return lo.SliceToMap(list, func(v T) (T, bool) { return v, true })
 }
--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -10,12 +10,16 @@
 	Placed atomic.Uint64
 	// Searches counts packets of unknown flows sent along a search path.
 	Searches atomic.Uint64
-	// Queried counts flows about which all agents of a service were queried.
+	// Queried counts flows about which all agents were queried.
 	Queried atomic.Uint64
 	// Returned counts packets that an agent without the flow returned.
 	Returned atomic.Uint64
 	// NotFound counts packets whose flow no agent holds or admits.
 	NotFound atomic.Uint64
+	// Inconclusive counts searches that found no holder and could not prove that there is none.
+	Inconclusive atomic.Uint64
+	// Reset counts open flows that were reset because no server holds them.
+	Reset atomic.Uint64
 	// Refused counts new flows that were reset because no server was available.
 	Refused atomic.Uint64
 	// NoRoute counts packets to addresses without a route.
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -18,50 +18,30 @@
 )
 
 // search searches for the agent of an unknown flow. The result of an earlier search stays valid
-// for notHeldRetention: agents that did not hold the flow are skipped, and if no other agent
-// may hold it, the caller receives a reset.
+// for notHeldRetention: agents that did not hold the flow are skipped.
 func (b *Balancer) search(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, entry cacheEntry) {
 	if !entry.notHeld || b.config.Clock.Since(entry.searchedAt) > notHeldRetention {
 		entry.searchedAt = time.Time{}
 	}
-	noHolder := b.searchLikely(buf, p, flow, route, entry)
-	if noHolder && !p.Reset {
-		b.mu.Lock()
-		delete(b.queries.byFlow, flow)
-		b.mu.Unlock()
-		b.resetNotHeld(flow, p, entry.attempts)
+	b.storePacket(buf, p, flow, route, entry.attempts)
+	if !b.searchLikely(buf, flow, route, entry) {
+		b.queryFlow(flow)
+		b.resolve(flow)
 	}
 }
 
-// resetNotHeld resets a flow that no agent holds.
-func (b *Balancer) resetNotHeld(flow packet.Flow, p packet.Packet, attempt uint8) {
-	b.counts.NotFound.Add(1)
-	b.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "notHeldAnywhere").Uint8("attempt", attempt).Send()
-	b.reset(flow, p.AckSeq)
-}
-
-// listComplete reports whether every server of the services that may run is listed, or was
-// passed to Expire: either this balancer's list is confirmed to be complete, or no other
-// balancer has a confirmed list and all listed servers have just started. The caller holds the
-// lock.
-func (b *Balancer) listComplete(services []string, corroborated, noCorroboratedPeer bool) bool {
-	return corroborated || noCorroboratedPeer && b.selection.AllRecentlyStarted(services)
-}
-
-// searchLikely sends a packet of an unknown flow along the agents that probably hold it. If more
-// agents may hold it, all agents are queried afterwards. entry is the result of earlier searches.
-// noHolder is true if no agent is left to be searched.
-func (b *Balancer) searchLikely(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route, entry cacheEntry) (noHolder bool) {
+// searchLikely sends a packet of an unknown flow along the agents that probably hold it; if none
+// does, all agents are queried afterwards. entry is the result of earlier searches. It returns
+// false if no agent is left to be searched.
+func (b *Balancer) searchLikely(buf []byte, flow packet.Flow, route *catalog.Route, entry cacheEntry) bool {
 	now := b.config.Clock.Now()
 	e := b.envelope(route)
 	e.Attempt = entry.attempts
-	corroborated, noCorroboratedPeer := b.config.Corroborated(), b.config.NoCorroboratedPeer()
 	b.mu.Lock()
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
-	e.Partial = !b.listComplete(services, corroborated, noCorroboratedPeer)
 	previous := b.selection.PreviousSearch(entry.searchedAt, entry.listVersion, services, now)
 	skipped := b.selection.SearchPath(&e, nil, hash, services, previous, now)
 	b.mu.Unlock()
@@ -69,7 +49,7 @@
 		if previous.IsZero() {
 			b.counts.NoServer.Add(1)
 		}
-		return e.Complete && !previous.IsZero()
+		return false
 	}
 	b.counts.Searches.Add(1)
 	b.config.Log.Info("flowSearched").Stringer("flow", flow).Uint8("attempt", e.Attempt).Uint8("page", e.Page).
@@ -79,7 +59,6 @@
 		next.searchedAt, next.notHeld = previous, true
 	}
 	b.cache.Put(flow, next)
-	b.storePacket(buf, p, flow, route, e.Attempt)
 	b.sendDirectCopies(e, skipped, buf)
 	switch {
 	case e.Count > 0:
@@ -87,13 +66,13 @@
 	case e.More:
 		b.queryFlow(flow)
 	}
-	return false
+	return true
 }
 
 // sendDirectCopies sends a copy of a packet to each skipped agent.
 func (b *Balancer) sendDirectCopies(e steer.Envelope, skipped []steer.Candidate, buf []byte) {
 	for _, c := range skipped {
-		e.Count, e.Complete, e.More, e.Direct, e.Candidates[0] = 1, false, false, true, c
+		e.Count, e.More, e.Direct, e.Candidates[0] = 1, false, true, c
 		b.send(&e, buf)
 	}
 }
@@ -148,39 +127,43 @@
 	b.send(&e, buf)
 }
 
-// handleNotFound records that no agent holds a flow, unless the flow was found or placed since
-// the search began.
+// handleNotFound records that no agent of a search path holds a flow, and queries all agents
+// unless they have denied the flow already.
 func (b *Balancer) handleNotFound(raw []byte) {
 	n, ok := steer.ParseNotFound(raw)
 	if !ok {
 		b.counts.Malformed.Add(1)
 		return
 	}
-	b.endSearch(n)
 	b.recordNotHeld(n)
+	if !n.Searched {
+		return
+	}
+	b.endSearchPath(n)
+	b.queryFlow(n.Flow)
+	b.resolve(n.Flow)
 }
 
-// recordNotHeld records that the agents which answered in a search do not hold the flow.
+// recordNotHeld records that the agents of a search path do not hold a flow, unless the flow was
+// found or placed since the search began.
 func (b *Balancer) recordNotHeld(n steer.NotFoundNotice) {
 	b.counts.NotFound.Add(1)
-	b.config.Log.Info("flowNotFound").Stringer("flow", n.Flow).Bool("allAsked", n.Complete).Send()
+	b.config.Log.Info("flowNotFound").Stringer("flow", n.Flow).Send()
 	b.cache.Update(n.Flow, func(entry cacheEntry) cacheEntry {
 		entry.notHeld = entry.notHeld || n.Searched && !entry.agent.IsValid() && entry.attempts == n.Attempt+1 && entry.listVersion == n.ListVersion
 		return entry
 	})
 }
 
-// endSearch ends the search of a packet that has visited all agents of its path: either its
-// caller was reset, or the search proved nothing because agents were skipped.
-func (b *Balancer) endSearch(n steer.NotFoundNotice) {
+// endSearchPath ends the search for a flow along the agents that answered Unknown: they have
+// denied the flow, as all others had.
+func (b *Balancer) endSearchPath(n steer.NotFoundNotice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := b.queries.byFlow[n.Flow]
-	switch {
-	case f == nil || !n.Searched:
-	case n.Complete:
-		delete(b.queries.byFlow, n.Flow)
-	case len(f.remaining) == 0:
-		f.searching = false
+	if f == nil || !f.onUnknownPath || len(f.remaining) > 0 || f.envelope.Attempt != n.Attempt || f.envelope.ListVersion != n.ListVersion {
+		return
 	}
+	f.searching, f.onUnknownPath = false, false
+	f.recordDenied()
 }
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -5,25 +5,30 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
 // Holders lists the agents that may hold an unknown flow.
 type Holders struct {
-	// Agents are those to query, the likeliest holder first.
+	// Agents are those of the services that the route names, the likeliest holder first.
 	Agents []netip.AddrPort
-	// Silent are those that do not answer, at most steer.MaxCandidates.
+	// Others are those of all other services, from which the route may have moved.
+	Others []netip.AddrPort
+	// Silent are agents of the route's services that do not answer, at most
+	// steer.MaxCandidates.
 	Silent []steer.Candidate
-	// SilentMayHold is true if an agent that does not answer may hold the flow.
-	SilentMayHold bool
-	// ListVersion is the version of the list of agents.
+	// ListVersion is the version of the list of agents, and Recoveries how often one of them had
+	// answered again after it had been silent.
 	ListVersion uint16
+	Recoveries  uint32
 }
 
-// Holders returns all agents of the services that may hold a flow of the given hash, and
-// records that they are searched.
+// Holders returns all agents that may hold a flow of the given hash, whose route leads to the
+// services, and records that they are searched.
 func (s *Selection) Holders(hash uint64, services []string, now time.Time) Holders {
-	h := Holders{ListVersion: s.listVersion}
+	h := Holders{ListVersion: s.listVersion, Recoveries: s.recoveries}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
 			s.recordSearch(c.agent, now)
@@ -32,18 +37,32 @@
 			} else if len(h.Silent) < steer.MaxCandidates {
 				h.Silent = append(h.Silent, candidate(c.agent))
 			}
-			h.SilentMayHold = h.SilentMayHold || s.silentMayHold(c.agent, now)
+		}
+	}
+	for service, agents := range s.byService {
+		if slices.Contains(services, service) {
+			continue
+		}
+		for _, a := range agents {
+			s.recordSearch(a, now)
+			if !a.suspect(now) {
+				h.Others = append(h.Others, a.Address)
+			}
 		}
 	}
 	return h
 }
 
-// AnySilentMayHold reports whether any agent of the services does not answer but may hold
-// flows.
-func (s *Selection) AnySilentMayHold(services []string, now time.Time) bool {
-	return slices.ContainsFunc(services, func(service string) bool {
-		return slices.ContainsFunc(s.byService[service], func(a *Agent) bool { return s.silentMayHold(a, now) })
-	})
+// SilentMayHold reports whether any agent does not answer although its server may live and
+// hold flows.
+func (s *Selection) SilentMayHold(now time.Time) bool {
+	return lo.SomeBy(lo.Values(s.tracked), func(a *Agent) bool { return s.silentMayHold(a, now) })
+}
+
+// AllListed reports whether the agents that h lists, and those that were silent then, are all
+// agents that answer now.
+func (s *Selection) AllListed(h Holders) bool {
+	return h.ListVersion == s.listVersion && h.Recoveries == s.recoveries
 }
 
 // ordered returns the agents of a service in the order of a first search. The list is
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -120,6 +120,13 @@
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
 	// first read after an interval longer than maxReadGap.
 	lastReadAt, readsResumedAt time.Time
+	// interruptedUntil is when the entries of live servers that are missing because of the
+	// latest interruption of the platform have returned; zero if there was none.
+	interruptedUntil time.Time
+	// epoch is that of the latest list of servers.
+	epoch uint64
+	// recoveries counts how often an agent has answered after it had been silent.
+	recoveries uint32
 	// listVersion is incremented whenever an agent is added, replaced or removed.
 	listVersion uint16
 	// unavailableSince holds, for each service without usable servers, since when it has
@@ -163,6 +170,10 @@
 // Update applies a new reading of the list of servers. Agents whose server is no longer
 // listed are removed after the retention period.
 func (s *Selection) Update(servers catalog.Servers, now time.Time) {
+	if s.epoch > 0 && servers.Epoch > s.epoch {
+		s.interruptedUntil = now.Add(removedAfter)
+	}
+	s.epoch = servers.Epoch
 	listed := s.newestByAddress(servers)
 	maps.DeleteFunc(listed, s.former)
 	for address, v := range listed {
@@ -254,6 +265,7 @@
 	if a := s.agents[address]; a != nil {
 		if a.suspect(now) {
 			a.RecoveredAt = now
+			s.recoveries++
 		}
 		a.Load, a.LastReportAt, a.UnansweredSince, a.PlacedFlows = l, now, time.Time{}, 0
 		s.tracked[address] = a
@@ -342,10 +354,19 @@
 func (s *Selection) RecordRead(at time.Time) {
 	if at.Sub(s.lastReadAt) > maxReadGap {
 		s.readsResumedAt = at
+		if !s.lastReadAt.IsZero() {
+			s.interruptedUntil = at.Add(removedAfter)
+		}
 	}
 	s.lastReadAt = at
 }
 
+// Interrupted reports whether the platform was unavailable, or returned from a backup, so
+// recently that entries of live servers may still be missing from the list.
+func (s *Selection) Interrupted() bool {
+	return s.lastReadAt.Before(s.interruptedUntil)
+}
+
 // NotifyChanges calls changed for each agent that has stopped or resumed answering since the
 // previous call.
 func (s *Selection) NotifyChanges(now time.Time, changed func(a Agent, silent bool)) {
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -14,8 +14,7 @@
 // likeliest first: all of them or, if there are more than an envelope holds, those that the
 // flow was probably offered to. Later attempts start at other agents, so that an agent that
 // does not answer cannot block the search of the others each time. Agents that do not answer
-// are skipped and appended to skipped: the caller of the method sends each a direct copy. A
-// search is complete only if it covers all agents and skips none whose server may live.
+// are skipped and appended to skipped: the caller of the method sends each a direct copy.
 // previous is the start of an earlier search as PreviousSearch returns it: agents that
 // answered then are left out. The result is skipped with the agents appended.
 func (s *Selection) SearchPath(e *steer.Envelope, skipped []steer.Candidate, hash uint64, services []string, previous, now time.Time) []steer.Candidate {
@@ -32,17 +31,14 @@
 	}
 	list := s.scored
 	e.ListVersion, e.More = s.listVersion, len(list) > steer.MaxCandidates
-	e.Partial = e.Partial || slices.ContainsFunc(list, func(c scored) bool { return s.silentMayHold(c.agent, now) })
 	switch {
 	case e.More && fansOut(e.Attempt):
 		return skipped
 	case e.More:
 		list = list[:likelyFactor*comparedAgents]
 	case fansOut(e.Attempt) && len(list) > 0:
-		e.Partial = true
 		return append(skipped, lo.Map(list, func(c scored, _ int) steer.Candidate { return candidate(c.agent) })...)
 	}
-	e.Complete = !e.More && !e.Partial
 	for _, c := range list {
 		if c.agent.suspect(now) {
 			skipped = append(skipped, candidate(c.agent))
@@ -124,18 +120,11 @@
 	}
 }
 
-// AllRecentlyStarted reports whether every listed server of the services had recently started
-// when it was first listed here, as after a power loss: flows that none of them holds are then
-// older than the servers.
-func (s *Selection) AllRecentlyStarted(services []string) bool {
-	for _, service := range services {
-		for _, a := range s.byService[service] {
-			if a.UnlistedSince.IsZero() && !a.recentlyStarted {
-				return false
-			}
-		}
-	}
-	return true
+// AllRecentlyStarted reports whether every listed server had recently started when it was first
+// listed here, as after a power loss: flows that none of them holds are then older than the
+// servers.
+func (s *Selection) AllRecentlyStarted() bool {
+	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.recentlyStarted })
 }
 
 // fansOut reports whether an attempt addresses every agent directly instead of sending one
--- a/internal/steer/lost.go
+++ b/internal/steer/lost.go
@@ -10,8 +10,6 @@
 type NotFoundNotice struct {
 	// Flow identifies the flow.
 	Flow packet.Flow
-	// Complete is true if every agent of the service was searched.
-	Complete bool
 	// Searched is true if the notice ends a search along all agents that answer, and false
 	// for a direct copy or a new flow.
 	Searched bool
@@ -30,13 +28,13 @@
 // NotFoundLen is the length of a notice, in bytes.
 const NotFoundLen = notFoundFlowOffset + packet.FlowLen
 
-// Flags of a notice: searchedFlag, and completeFlag as in an envelope.
+// searchedFlag is the only flag of a notice.
 const searchedFlag = 1
 
 // Put writes the notice into b, which holds at least NotFoundLen bytes.
 func (n NotFoundNotice) Put(b []byte) {
 	b[0], b[kindOffset] = magic, byte(NotFound)
-	b[flagsOffset] = flag(n.Complete, completeFlag) | flag(n.Searched, searchedFlag)
+	b[flagsOffset] = flag(n.Searched, searchedFlag)
 	b[notFoundAttemptOffset] = n.Attempt
 	binary.BigEndian.PutUint16(b[notFoundListOffset:], n.ListVersion)
 	n.Flow.Put(b[notFoundFlowOffset:])
@@ -49,7 +47,6 @@
 	}
 	return NotFoundNotice{
 		Flow:        packet.ParseFlow(b[notFoundFlowOffset:]),
-		Complete:    b[flagsOffset]&completeFlag != 0,
 		Searched:    b[flagsOffset]&searchedFlag != 0,
 		Attempt:     b[notFoundAttemptOffset],
 		ListVersion: binary.BigEndian.Uint16(b[notFoundListOffset:]),
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -66,15 +66,14 @@
 	listVersionOffset = 25
 )
 
-// Flags of an envelope.
+// Flags of an envelope. Former programs set bits 2 and 32 for searches whose last agent resets
+// the flow.
 const (
-	cachedFlag = 1 << iota
-	completeFlag
-	mustAdmitFlag
-	onceFlag
-	moreFlag
-	partialFlag
-	directFlag
+	cachedFlag    = 1
+	mustAdmitFlag = 4
+	onceFlag      = 8
+	moreFlag      = 16
+	directFlag    = 64
 )
 
 // Candidate is an agent that may hold or admit a flow.
@@ -107,12 +106,6 @@
 	// Cached is true if the first candidate comes from the balancer's cache of flows. That
 	// agent returns a packet, other than a SYN, whose flow it does not hold.
 	Cached bool
-	// Complete is true if, with the candidates of this page, all agents of the
-	// service have been searched: the last of them resets a flow that none holds.
-	Complete bool
-	// Partial is true if this page or an earlier one skipped an agent whose server
-	// may hold the flow, or if the list of servers may be incomplete.
-	Partial bool
 	// Direct is true for a copy to one agent that the search path skipped.
 	Direct bool
 	// More is true if agents that are not on this page may hold the flow.
@@ -154,7 +147,7 @@
 // is cheaper than a new envelope.
 func (e *Envelope) Clear() {
 	clear(e.Candidates[:e.Count])
-	e.Kind, e.Cached, e.Complete, e.Partial, e.Direct, e.More, e.MustAdmit = 0, false, false, false, false, false, false
+	e.Kind, e.Cached, e.Direct, e.More, e.MustAdmit = 0, false, false, false, false
 	e.Page, e.Attempt, e.ListVersion, e.Hop, e.Count = 0, 0, 0, 0, 0
 	e.Class, e.Service, e.Balancer, e.Best, e.BestDelayMillis = Class{}, 0, netip.AddrPort{}, 0, 0
 }
@@ -176,8 +169,8 @@
 func (e *Envelope) Put(b []byte) {
 	b[0] = magic
 	b[kindOffset] = byte(e.Kind)
-	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.Complete, completeFlag) | flag(e.MustAdmit, mustAdmitFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag) |
-		flag(e.Partial, partialFlag) | flag(e.Direct, directFlag)
+	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.MustAdmit, mustAdmitFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag) |
+		flag(e.Direct, directFlag)
 	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
 	binary.BigEndian.PutUint16(b[listVersionOffset:], e.ListVersion)
 	b[hopOffset] = e.Hop
@@ -205,10 +198,8 @@
 	}
 	e.Kind = kind
 	e.Cached = b[flagsOffset]&cachedFlag != 0
-	e.Complete = b[flagsOffset]&completeFlag != 0
 	e.MustAdmit = b[flagsOffset]&mustAdmitFlag != 0
 	e.More = b[flagsOffset]&moreFlag != 0
-	e.Partial = b[flagsOffset]&partialFlag != 0
 	e.Direct = b[flagsOffset]&directFlag != 0
 	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
 	e.ListVersion = binary.BigEndian.Uint16(b[listVersionOffset:])
