Keep a leaving balancer informed until it stops

Cause: a digest with the flag leaving made all others forget its sender. It got no more digests, and read by itself only after the interval of its former rank, 0.7 s and 0.4 s for each balancer with a lower address; but it forwards packets for up to the grace time.

Change: a leaving balancer stays a member without a place in the order of readers, and is dropped once it has been silent for memberTimeout. Digests name only balancers that are live and stay, so that others do not add one again that has stopped.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -119,6 +119,9 @@
 	lastReceived time.Time
 	// epoch is that of the list of servers that it had then.
 	epoch uint64
+	// leaving is true if it was about to stop then. It forwards packets until it stops, so it
+	// still receives digests, but no other balancer waits for its readings.
+	leaving bool
 }
 
 // Counts are totals since the start.
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -85,20 +85,21 @@
 	}
 	targets := d.targets()
 	var b [steer.DigestMaxLen]byte
-	n := steer.PutDigest(b[:], f, lo.Samples(targets, steer.MaxMembers))
+	n := steer.PutDigest(b[:], f, lo.Samples(lo.Keys(d.staying()), steer.MaxMembers))
 	for _, t := range append(targets, d.replicas()...) {
 		d.config.Send(b[:n], t)
 	}
 }
 
 // targets returns the balancers that receive a round of digests: all of them, or a random
-// sample. It drops balancers that have been silent for memberRetention.
+// sample. It drops balancers that have been silent for memberRetention, or have left.
 func (d *Directory) targets() []netip.AddrPort {
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for a, m := range d.members {
-		if !m.lastReceived.IsZero() && now.Sub(m.lastReceived) > memberRetention {
+		silent := now.Sub(m.lastReceived)
+		if !m.lastReceived.IsZero() && (silent > memberRetention || m.leaving && silent > d.pace(memberTimeout)) {
 			delete(d.members, a)
 		}
 	}
@@ -123,11 +124,9 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members[from] = member{lastReceived: now, epoch: f.Epoch}
+	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving}
 	if d.config.Replica {
 		members = nil
-	} else if f.Leaving {
-		delete(d.members, from)
 	}
 	for _, m := range members {
 		if _, listed := d.members[m]; !listed && m != d.config.Self {
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -109,14 +109,20 @@
 }
 
 // rank returns the place of this balancer in the order of readers, from 0: live balancers
-// are ordered by address. Those whose list is from an earlier epoch, or from an unknown one,
-// do not count, because this balancer would not apply their lists.
+// are ordered by address. Those that are about to stop do not count, nor do those whose list
+// is from an earlier epoch, or from an unknown one, because this balancer would not apply their
+// lists.
 func (d *Directory) rank() int {
 	epoch := d.catalog.Load().Servers.Epoch
-	live := lo.PickBy(d.live(), func(a netip.AddrPort, m member) bool {
+	before := lo.PickBy(d.staying(), func(a netip.AddrPort, m member) bool {
 		return m.epoch >= epoch && a.Compare(d.config.Self) < 0
 	})
-	return len(live)
+	return len(before)
+}
+
+// staying returns the other balancers that are live and not about to stop.
+func (d *Directory) staying() map[netip.AddrPort]member {
+	return lo.PickBy(d.live(), func(_ netip.AddrPort, m member) bool { return !m.leaving })
 }
 
 // Peers returns the number of other balancers that are live.
