Ask the server about an unknown flow whatever the service of its envelope

Cause: a balancer writes into the envelope the service that the route selects now. An agent whose table is incomplete asked its server only if that was its own service, and otherwise forwarded the packet as if it had denied the flow. An agent that cannot tell must not pass for one that denies.

Change: it shows a packet that is no SYN to its server once, whatever the service; the server bounces it if it does not hold the flow. The agents that answered a query with unknown are visited whatever their service, too.

TestFlowOfFormerShare fails without the change: 0 packets to the server, 1 notice.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -209,7 +209,7 @@
 		a.config.Log.Warn("packetOfOtherServer").Stringer("flow", flow).Uint8("state", uint8(entry.State)).
 			Uint32("acknowledged", p.AckSeq).Uint32("serverNext", entry.ServerNext()).Send()
 	}
-	if entry == nil && a.mayHold(flow, now) && e.Service == a.config.Service {
+	if entry == nil && a.mayHold(flow, now) {
 		a.counts.ServerQueries.Add(1)
 		a.serverQueries[flow] = serverQuery{balancer: e.Balancer, class: e.Class, at: now}
 		a.config.Log.Info("serverAsked").Stringer("flow", flow).Uint8("hop", e.Hop).
--- a/internal/packetagent/whole_test.go
+++ b/internal/packetagent/whole_test.go
@@ -1,9 +1,11 @@
 package packetagent
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
 )
 
@@ -52,3 +54,28 @@
 		t.Error("a packet of a flow that was opened since did not reach the server")
 	}
 }
+
+// TestFlowOfFormerShare guards against the loss of a flow that was opened when the route selected
+// the agent's service for it, and selects another one since: an agent that has restarted must
+// not forward its packets as if the server did not hold it.
+func TestFlowOfFormerShare(t *testing.T) {
+	a := newBenchAgent()
+	a.config.Service = 7
+	delivered, notFound := 0, 0
+	a.transport.SendToServer = func([]byte) error { delivered++; return nil }
+	a.transport.SendFleetDatagram = func(raw []byte, _ netip.AddrPort) error {
+		if _, ok := steer.ParseNotFound(raw); ok {
+			notFound++
+		}
+		return nil
+	}
+	e := steer.Envelope{Kind: steer.Forward, Balancer: balancer, Best: steer.NoBest, Service: 8}
+	e.Append(steer.Candidate{Agent: relay})
+	raw := make([]byte, e.Len())
+	e.Put(raw)
+	p := packet.Packet{SourceIP: [4]byte{100, 64, 0, 0}, SourcePort: 7, Ack: true, Seq: 1, AckSeq: 1, Data: []byte("x")}
+	a.HandleFleetDatagram(append(raw, standin.EncodePacket(p)...), balancer)
+	if delivered != 1 || notFound != 0 {
+		t.Errorf("%d packets to the server, %d notices that it does not hold the flow, want 1 and none", delivered, notFound)
+	}
+}
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -63,9 +63,6 @@
 	// onUnknownPath is true while the packet visits them.
 	remaining     []netip.AddrPort
 	onUnknownPath bool
-	// unsure is true if an agent that the packet does not visit cannot tell whether its server
-	// holds the flow.
-	unsure bool
 }
 
 // queryTarget states when a query was sent, and to which agents.
@@ -76,17 +73,13 @@
 
 // recordDenied records that all agents that the latest query went to have denied the flow.
 func (f *searchedFlow) recordDenied() {
-	if !f.unsure {
-		f.denied = f.queried
-	}
+	f.denied = f.queried
 }
 
 // flowQuery is a query that is open, with its result so far and the flows that it is about.
 type flowQuery struct {
 	*census.QueryResult
 	flows []*searchedFlow
-	// others holds the agents of services that the route of the flows does not name.
-	others map[netip.AddrPort]bool
 }
 
 // queries holds the flows that a balancer searches, and its queries about them.
@@ -180,12 +173,10 @@
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flows[0].flow)
 	holders := b.selection.Holders(hash, route.Services(hash), now)
-	agents := append(holders.Agents, holders.Others...)
 	q.lastID++
 	id := q.lastID
 	query := &flowQuery{
-		QueryResult: census.NewQueryResult(len(flows), agents, now), flows: flows,
-		others: toSet(holders.Others),
+		QueryResult: census.NewQueryResult(len(flows), holders.Agents, now), flows: flows,
 	}
 	for _, f := range flows {
 		f.queried, f.envelope.ListVersion = queryTarget{now, holders}, holders.ListVersion
@@ -194,12 +185,12 @@
 	b.mu.Unlock()
 	b.counts.Queried.Add(uint64(len(flows)))
 	b.config.Log.Info("flowsAsked").Int("flows", len(flows)).Stringer("first", flows[0].flow).
-		Int("agents", len(agents)).Int("silentAgents", len(holders.Silent)).Send()
+		Int("agents", len(holders.Agents)).Int("silentAgents", len(holders.Silent)).Send()
 	var raw [steer.QueryMaxLen]byte
 	n := steer.PutQuery(raw[:], id, lo.Map(flows, func(f *searchedFlow, _ int) steer.QueriedFlow {
 		return steer.QueriedFlow{Flow: f.flow, Ack: f.packet.Ack, AckSeq: f.packet.AckSeq}
 	}))
-	for _, a := range agents {
+	for _, a := range holders.Agents {
 		b.Send(raw[:n], a)
 	}
 	for _, f := range flows {
@@ -260,17 +251,16 @@
 	}
 	for n, f := range query.flows {
 		if !query.Found(n) {
-			b.endUnfound(f, query.PossibleHolders(n), query.others)
+			b.endUnfound(f, query.PossibleHolders(n))
 		}
 	}
 }
 
-// endUnfound ends the query about a flow that no agent holds for certain. possible are the agents
-// that have not denied it, some of them among the others.
-func (b *Balancer) endUnfound(f *searchedFlow, possible []netip.AddrPort, others map[netip.AddrPort]bool) {
-	unknown := lo.Reject(possible, func(a netip.AddrPort, _ int) bool { return others[a] })
+// endUnfound ends the query about a flow that no agent holds for certain. unknown are the agents
+// that have not denied it.
+func (b *Balancer) endUnfound(f *searchedFlow, unknown []netip.AddrPort) {
 	b.mu.Lock()
-	f.remaining, f.unsure = unknown, len(unknown) < len(possible)
+	f.remaining = unknown
 	retried, e := f.retries > 0, f.envelope
 	if len(unknown) == 0 {
 		f.searching = false
@@ -412,8 +402,3 @@
 	e.AllDenied = true
 	return e.Doubt() == absence.None || e.Doubt() == absence.StaleList
 }
-
-// toSet returns the elements of a list as the keys of a map.
-func toSet[T comparable](list []T) map[T]bool {
-	return lo.SliceToMap(list, func(v T) (T, bool) { return v, true })
-}
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -12,10 +12,9 @@
 
 // Holders lists the agents that may hold an unknown flow.
 type Holders struct {
-	// Agents are those of the services that the route names, the likeliest holder first.
+	// Agents are those to query: first those of the services that the route names, the likeliest
+	// holder first, then those of all others, from which the route may have moved.
 	Agents []netip.AddrPort
-	// Others are those of all other services, from which the route may have moved.
-	Others []netip.AddrPort
 	// Silent are agents of the route's services that do not answer, at most
 	// steer.MaxCandidates.
 	Silent []steer.Candidate
@@ -46,7 +45,7 @@
 		for _, a := range agents {
 			s.recordSearch(a, now)
 			if !a.suspect(now) {
-				h.Others = append(h.Others, a.Address)
+				h.Agents = append(h.Agents, a.Address)
 			}
 		}
 	}
