Keep the servers of several services at one address apart

Cause: the selection kept one entry for each IP address, that of the server that started last, whatever its service. The foreign entry took the place of the server's, whose agent was then missing among the agents of its service: no search asked it, and no flow was placed there.

Change: the key is the address and the service, so an entry competes only with others of its own service. Agents state their service in reports (4 bytes more; older programs ignore them and are read as before). An entry of another service than the agent's is not used for new flows, so an entry of a service in use does no harm either, and a reused address is recognised before the former entry expires.

--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -105,6 +105,16 @@
 	})
 }
 
+// ListOther lists an entry of another writer: a process of a service that no route names, at the
+// address of a server and started after it.
+func (l *Lab) ListOther(i int) {
+	s := l.servers[i]
+	l.platform.at.Revision++
+	l.platform.servers["other"] = catalog.Server{
+		ID: "other", Born: l.clock.Now().UnixMilli(), Service: "exporter", Address: s.ip, Zone: s.zone, Slots: 1, State: catalog.Ready,
+	}
+}
+
 // SlowServer multiplies the time that a server works on each request, for the given time.
 func (l *Lab) SlowServer(i int, factor float64, d time.Duration) {
 	s := l.servers[i]
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -171,6 +171,8 @@
 			l.LoseServer(index)
 		case "drainServer":
 			l.DrainServer(index, length)
+		case "listOther":
+			l.ListOther(index)
 		case "slowServer":
 			l.SlowServer(index, factor, length)
 		case "resetServer":
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -118,6 +118,7 @@
 		RequestsPerSecond: a.rate.perSecond(now),
 		Failures:          a.failures.share(now),
 		ServiceTime:       a.service.Mean(),
+		Service:           a.config.Service,
 	}
 	switch {
 	case a.leaving:
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -49,6 +49,7 @@
 			}
 		}
 	}
+	h.Agents = lo.Uniq(h.Agents)
 	return h
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -111,11 +111,14 @@
 	// key is the hash by which this balancer ranks agents for its sample.
 	key uint64
 	// agents holds the agents of listed servers, and those of unlisted ones for the
-	// retention period.
-	agents map[netip.AddrPort]*Agent
+	// retention period. Entries of several services may name the same address, because one of
+	// them is of another writer or its server has left: then each has an agent here.
+	agents map[place]*Agent
 	// tracked holds the agents that may be due for a ping; each agent that has a message
 	// unanswered is among them.
-	tracked   map[netip.AddrPort]*Agent
+	tracked map[place]*Agent
+	// byAddress and byService index agents.
+	byAddress map[netip.AddrPort][]*Agent
 	byService map[string][]*Agent
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
 	// first read after an interval longer than maxReadGap.
@@ -141,6 +144,16 @@
 	lastCutOffAt time.Time
 }
 
+// place is an address with the service of a server that is listed there.
+type place struct {
+	address netip.AddrPort
+	service string
+}
+
+func (a *Agent) place() place {
+	return place{a.Address, a.Server.Service}
+}
+
 // scored is an agent with the score by which a list is sorted.
 type scored struct {
 	agent *Agent
@@ -161,8 +174,9 @@
 		bounds:           b,
 		started:          started,
 		ranker:           ranker,
-		agents:           make(map[netip.AddrPort]*Agent),
-		tracked:          make(map[netip.AddrPort]*Agent),
+		agents:           make(map[place]*Agent),
+		tracked:          make(map[place]*Agent),
+		byAddress:        make(map[netip.AddrPort][]*Agent),
 		byService:        make(map[string][]*Agent),
 	}
 }
@@ -174,68 +188,72 @@
 		s.interruptedUntil = now.Add(removedAfter)
 	}
 	s.epoch = servers.Epoch
-	listed := s.newestByAddress(servers)
+	listed := s.newestByPlace(servers)
 	maps.DeleteFunc(listed, s.former)
-	for address, v := range listed {
-		s.setListed(address, v, now)
+	for at, v := range listed {
+		s.setListed(at, v, now)
 	}
-	for address, a := range s.agents {
-		if _, ok := listed[address]; ok {
+	for at, a := range s.agents {
+		if _, ok := listed[at]; ok {
 			continue
 		}
 		if a.UnlistedSince.IsZero() {
 			a.UnlistedSince = now
 		}
 		if now.Sub(a.UnlistedSince) > s.retain {
-			delete(s.agents, address)
-			delete(s.tracked, address)
+			delete(s.agents, at)
+			delete(s.tracked, at)
 			s.listVersion++
 		}
 	}
-	s.groupByService()
+	s.index()
 }
 
 // Expire adds a server whose entry in the list expired at the given time, unless an agent
-// at its address is stored already, of a server that started later or after that entry has had
+// at its place is stored already, of a server that started later or after that entry has had
 // time to return. This balancer may never have read the entry.
 func (s *Selection) Expire(v catalog.Server, since time.Time) {
-	address := netip.AddrPortFrom(v.Address, s.port)
-	if a := s.agents[address]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
+	at := s.placeOf(v)
+	if a := s.agents[at]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
 		return
 	}
-	s.setListed(address, v, since)
-	s.agents[address].UnlistedSince = since
-	s.groupByService()
+	s.setListed(at, v, since)
+	s.agents[at].UnlistedSince = since
+	s.index()
 }
 
-// newestByAddress returns the latest started server for each address of an agent. A server
-// that restarted under another ID is listed twice until its former entry expires.
-func (s *Selection) newestByAddress(servers catalog.Servers) map[netip.AddrPort]catalog.Server {
-	listed := make(map[netip.AddrPort]catalog.Server, len(servers.List))
+// newestByPlace returns the latest started server of each service for each address of an agent.
+// A server that restarted under another ID is listed twice until its former entry expires.
+func (s *Selection) newestByPlace(servers catalog.Servers) map[place]catalog.Server {
+	listed := make(map[place]catalog.Server, len(servers.List))
 	for _, v := range servers.List {
-		address := netip.AddrPortFrom(v.Address, s.port)
-		if other, ok := listed[address]; !ok || v.Born > other.Born {
-			listed[address] = v
+		at := s.placeOf(v)
+		if other, ok := listed[at]; !ok || v.Born > other.Born {
+			listed[at] = v
 		}
 	}
 	return listed
 }
 
-// former reports whether a listed server is a former one at its address: a server that started
+func (s *Selection) placeOf(v catalog.Server) place {
+	return place{netip.AddrPortFrom(v.Address, s.port), v.Service}
+}
+
+// former reports whether a listed server is a former one at its place: a server that started
 // later was listed there a moment ago. The platform lists it again after a return from a
 // backup, until its entry expires; that of the present one returns sooner.
-func (s *Selection) former(address netip.AddrPort, v catalog.Server) bool {
-	a := s.agents[address]
+func (s *Selection) former(at place, v catalog.Server) bool {
+	a := s.agents[at]
 	return a != nil && v.Born < a.Server.Born && s.unlistedFor(a) < removedAfter
 }
 
 // setListed stores the entry of a listed server. A server that has restarted, or has
-// replaced another at its address, gets a new agent without reports.
-func (s *Selection) setListed(address netip.AddrPort, v catalog.Server, now time.Time) {
-	a := s.agents[address]
+// replaced another at its place, gets a new agent without reports.
+func (s *Selection) setListed(at place, v catalog.Server, now time.Time) {
+	a := s.agents[at]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: address, hash: s.ranker.Hash([]byte(address.String())), recentlyStarted: s.justStarted(v)}
-		s.agents[address], s.tracked[address] = a, a
+		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), recentlyStarted: s.justStarted(v)}
+		s.agents[at], s.tracked[at] = a, a
 		s.listVersion++
 	}
 	a.Server, a.UnlistedSince = v, time.Time{}
@@ -248,11 +266,13 @@
 	return v.Warmup > 0 || v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
 }
 
-// groupByService rebuilds the index of agents by service.
-func (s *Selection) groupByService() {
+// index rebuilds the indexes of agents by service and by address.
+func (s *Selection) index() {
 	clear(s.byService)
+	clear(s.byAddress)
 	for _, a := range s.agents {
 		s.byService[a.Server.Service] = append(s.byService[a.Server.Service], a)
+		s.byAddress[a.Address] = append(s.byAddress[a.Address], a)
 	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Agent) int { return a.Address.Compare(b.Address) })
@@ -262,19 +282,19 @@
 
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
-	if a := s.agents[address]; a != nil {
+	for _, a := range s.byAddress[address] {
 		if a.suspect(now) {
 			a.RecoveredAt = now
 			s.recoveries++
 		}
 		a.Load, a.LastReportAt, a.UnansweredSince, a.PlacedFlows = l, now, time.Time{}, 0
-		s.tracked[address] = a
+		s.track(a)
 	}
 }
 
 // RecordPing records that a ping was sent to an agent, which answers it with a report.
 func (s *Selection) RecordPing(address netip.AddrPort, now time.Time) {
-	if a := s.agents[address]; a != nil {
+	for _, a := range s.byAddress[address] {
 		a.lastPingAt = now
 		s.awaitReport(a, now)
 	}
@@ -282,15 +302,19 @@
 
 // awaitReport records that an agent was sent a message that it answers with a report.
 func (s *Selection) awaitReport(a *Agent, now time.Time) {
-	s.tracked[a.Address] = a
+	s.track(a)
 	if a.UnansweredSince.IsZero() {
 		a.UnansweredSince = now
 	}
 }
 
+func (s *Selection) track(a *Agent) {
+	s.tracked[a.place()] = a
+}
+
 // RecordPlacement records that a new flow was offered to an agent.
 func (s *Selection) RecordPlacement(address netip.AddrPort, now time.Time) {
-	if a := s.agents[address]; a != nil {
+	for _, a := range s.byAddress[address] {
 		a.PlacedFlows++
 		a.LastUsedAt = now
 		s.awaitReport(a, now)
@@ -299,26 +323,35 @@
 
 // RecordUse records that packets of known flows were sent to an agent.
 func (s *Selection) RecordUse(address netip.AddrPort, now time.Time) {
-	if a := s.agents[address]; a != nil {
+	for _, a := range s.byAddress[address] {
 		a.LastUsedAt = now
-		s.tracked[address] = a
+		s.track(a)
 	}
 }
 
 // Agent returns a copy of an agent's state, or an agent with only its address if it is
-// unknown.
+// unknown. Of several servers at the address it has the one that the agent reports for, or the
+// one that started last.
 func (s *Selection) Agent(address netip.AddrPort) Agent {
-	if a := s.agents[address]; a != nil {
-		return *a
+	found := Agent{Address: address}
+	for _, a := range s.byAddress[address] {
+		if s.reportsFor(a) && (found.hash == 0 || a.Server.Born > found.Server.Born) {
+			found = *a
+		}
 	}
-	return Agent{Address: address}
+	return found
+}
+
+// reportsFor reports whether an agent is beside the server of its entry, as far as its reports
+// show: an entry of another service may name its address.
+func (s *Selection) reportsFor(a *Agent) bool {
+	return a.Load.Service == 0 || a.Load.Service == catalog.ServiceID(a.Server.Service)
 }
 
 // Suspect reports whether an agent has left a message unanswered for longer than the
 // suspect timeout.
 func (s *Selection) Suspect(address netip.AddrPort, now time.Time) bool {
-	a := s.agents[address]
-	return a != nil && a.suspect(now)
+	return slices.ContainsFunc(s.byAddress[address], func(a *Agent) bool { return a.suspect(now) })
 }
 
 func (a *Agent) suspect(now time.Time) bool {
@@ -328,7 +361,7 @@
 // usable reports whether an agent may be offered new flows. One whose server is no longer
 // listed may be, for the grace period of expired entries.
 func (s *Selection) usable(a *Agent) bool {
-	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving {
+	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving || !s.reportsFor(a) {
 		return false
 	}
 	return s.unlistedFor(a) < s.bounds.ExpiryGrace()
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -186,6 +186,10 @@
 		Outstanding: uint16(outstanding), Flows: uint16(flows), RequestsPerSecond: float32(rate),
 		ServiceTime: time.Duration(service) * time.Millisecond,
 	}
+	name := ""
+	if d.MaybeScanArgs(t, "service", &name); name != "" {
+		l.Service = catalog.ServiceID(name)
+	}
 	if d.HasArg("silent") {
 		l.State = steer.Silent
 	}
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 )
 
@@ -15,9 +17,9 @@
 		s.lastCutOffAt = now
 		return lost
 	}
-	for address, a := range s.tracked {
-		if a.suspect(now) && !s.silentMayHold(a, now) {
-			lost[address] = true
+	for _, a := range s.tracked {
+		if a.suspect(now) && lo.NoneBy(s.byAddress[a.Address], func(a *Agent) bool { return s.silentMayHold(a, now) }) {
+			lost[a.Address] = true
 		}
 	}
 	return lost
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -52,11 +52,11 @@
 	}
 	for _, c := range sample {
 		c.agent.sampled = true
-		s.tracked[c.agent.Address] = c.agent
+		s.track(c.agent)
 	}
 	for _, c := range near {
 		c.agent.monitored = true
-		s.tracked[c.agent.Address] = c.agent
+		s.track(c.agent)
 	}
 }
 
@@ -85,12 +85,12 @@
 // inUsePeriod.
 func (s *Selection) DueForPing(now time.Time) []netip.AddrPort {
 	inUse, neverPinged := 0, 0
-	for address, a := range s.tracked {
+	for at, a := range s.tracked {
 		switch {
 		case a.inUse(now):
 			inUse++
 		case a.UnansweredSince.IsZero() && !a.wasSuspect && !a.recentlySearched(now) && !a.lastPingAt.IsZero():
-			delete(s.tracked, address)
+			delete(s.tracked, at)
 		}
 		if a.lastPingAt.IsZero() {
 			neverPinged++
@@ -108,17 +108,13 @@
 		return cmp.Or(a.agent.lastPingAt.Compare(b.agent.lastPingAt), a.agent.Address.Compare(b.agent.Address))
 	})
 	limit := max(maxPings, min(neverPinged, maxFirstPings))
-	due := make([]netip.AddrPort, 0, limit)
-	for _, c := range s.scored[:min(len(s.scored), limit)] {
-		due = append(due, c.agent.Address)
-	}
-	return due
+	return lo.Uniq(lo.Map(s.scored[:min(len(s.scored), limit)], func(c scored, _ int) netip.AddrPort { return c.agent.Address }))
 }
 
 // recordSearch records that an agent is searched for the holder of a flow.
 func (s *Selection) recordSearch(a *Agent, now time.Time) {
 	a.LastSearchedAt = now
-	s.tracked[a.Address] = a
+	s.track(a)
 }
 
 // recentlySearched reports whether the agent was searched for the holder of a flow within
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -36,10 +36,12 @@
 	// ServiceTime is the time that the server takes for a request, without waiting; 0 if
 	// unknown.
 	ServiceTime time.Duration
+	// Service is the numeric identifier of the server's service; 0 if unknown.
+	Service uint32
 }
 
-// reportLen is the length of a report, in bytes.
-const reportLen = 4 + packet.FlowLen + 2 + 2 + 4 + 4
+// minReportLen is the length of the reports of programs that do not state the service, in bytes.
+const minReportLen = 4 + packet.FlowLen + 2 + 2 + 4 + 4
 
 const (
 	reportStateOffset       = 2
@@ -49,10 +51,11 @@
 	reportFlowsOffset       = reportOutstandingOffset + 2
 	reportRateOffset        = reportFlowsOffset + 2
 	reportTimeOffset        = reportRateOffset + 4
+	reportServiceOffset     = reportTimeOffset + 4
 )
 
 // ReportLen is the length of a report, in bytes.
-const ReportLen = reportLen
+const ReportLen = reportServiceOffset + 4
 
 // PutReport writes a report into b, which holds at least ReportLen bytes. A zero flow
 // means that the report carries the load only.
@@ -66,6 +69,7 @@
 	binary.BigEndian.PutUint16(b[reportFlowsOffset:], l.Flows)
 	binary.BigEndian.PutUint32(b[reportRateOffset:], uint32(l.RequestsPerSecond*rateUnit))
 	binary.BigEndian.PutUint32(b[reportTimeOffset:], uint32(l.ServiceTime.Microseconds()))
+	binary.BigEndian.PutUint32(b[reportServiceOffset:], l.Service)
 }
 
 // failuresUnit is the encoded value of a share of 1.
@@ -77,13 +81,18 @@
 // ParseReport decodes a report: the load, and the flow that the agent holds, or a zero flow.
 // It returns false if the datagram is not a valid report.
 func ParseReport(b []byte) (Load, packet.Flow, bool) {
-	if kind, ok := KindOf(b); !ok || kind != Report || len(b) < reportLen {
+	if kind, ok := KindOf(b); !ok || kind != Report || len(b) < minReportLen {
 		return Load{}, packet.Flow{}, false
 	}
 	if b[reportStateOffset] > byte(Silent) {
 		return Load{}, packet.Flow{}, false
 	}
+	var service uint32
+	if len(b) >= ReportLen {
+		service = binary.BigEndian.Uint32(b[reportServiceOffset:])
+	}
 	return Load{
+		Service:           service,
 		State:             State(b[reportStateOffset]),
 		Failures:          float32(b[reportFailuresOffset]) / failuresUnit,
 		Outstanding:       binary.BigEndian.Uint16(b[reportOutstandingOffset:]),
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -65,13 +65,18 @@
 			Outstanding: rapid.Uint16().Draw(t, "outstanding"), Flows: rapid.Uint16().Draw(t, "flows"),
 			Failures:          float32(rapid.Byte().Draw(t, "failures")) / failuresUnit,
 			RequestsPerSecond: float32(rapid.IntRange(0, 10_000).Draw(t, "rate")),
-			ServiceTime:       time.Duration(rapid.IntRange(0, 10_000_000).Draw(t, "service")) * time.Microsecond,
+			ServiceTime:       time.Duration(rapid.IntRange(0, 10_000_000).Draw(t, "serviceTime")) * time.Microsecond,
+			Service:           rapid.Uint32().Draw(t, "service"),
 		}
 		var b [ReportLen]byte
 		PutReport(b[:], l, f)
 		if gotLoad, gotFlow, ok := ParseReport(b[:]); !ok || gotLoad != l || gotFlow != f {
 			t.Fatalf("report %t %+v %v, want %+v %v", ok, gotLoad, gotFlow, l, f)
 		}
+		l.Service = 0
+		if gotLoad, _, ok := ParseReport(b[:minReportLen]); !ok || gotLoad != l {
+			t.Fatalf("report without a service %t %+v, want %+v", ok, gotLoad, l)
+		}
 		var notFound [NotFoundLen]byte
 		notice := NotFoundNotice{Flow: f, Searched: true, Attempt: 3, ListVersion: 0x1234}
 		notice.Put(notFound[:])
