--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -64,7 +64,7 @@
 	s.routes = catalog.Routes{Version: version}
 	var list []catalog.Server
 	for _, id := range ids {
-		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Address: s.address})
+		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Slots: 1, Address: s.address})
 	}
 	s.servers = catalog.NewServers(at, list)
 }
