Let an odd value among the entries of servers cost that entry alone

Operators of similar systems saw machines that read the list of endpoints end again and again, or stop following it, after another writer had left one odd entry.

Entries from other balancers, in lists, deltas and among expired ones, are checked like those that were read, because older programs check less: an address without IPv4 would end the process that encodes it. Ignored entries are logged once for each content and counted in entries_ignored_total.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -100,6 +100,8 @@
 	failedSince time.Time
 	// refusing is true from the first refused list of servers to the next applied one.
 	refusing bool
+	// ignored remembers the unusable entries of the latest lists.
+	ignored ignored
 	// expired holds the servers whose entries have recently expired, by ID.
 	expired map[string]Expired
 	// confirmed is true once a balancer with a complete list of the servers that may run
@@ -131,6 +133,8 @@
 	// Fetches counts catalogs that other directories returned; Deltas counts the lists
 	// of routes or servers in them that held only the differences and were applied.
 	Fetches, Deltas atomic.Uint64
+	// Ignored counts entries that describe no usable server, once for each content.
+	Ignored atomic.Uint64
 	// Refused counts lists of servers that were older than the list in force.
 	Refused atomic.Uint64
 }
@@ -143,6 +147,7 @@
 		server:   rpc.NewServer(c.Self.Addr()),
 		members:  make(map[netip.AddrPort]member),
 		fetching: make(map[netip.AddrPort]time.Time),
+		ignored:  newIgnored(),
 		expired:  make(map[string]Expired),
 	}
 	d.fetchedAt = d.started
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -232,6 +232,9 @@
 		d.applyRoutes(*r.Routes, from)
 	}
 	if r.Servers != nil {
+		list, faults := usable(r.Servers.List)
+		d.recordIgnored(faults, "balancer")
+		r.Servers.List = list
 		age := time.Duration(r.AgeMillis)*time.Millisecond + d.config.Clock.Since(requestedAt)
 		d.applyServers(*r.Servers, age, from)
 	}
@@ -246,6 +249,9 @@
 	d.mu.Lock()
 	listed := d.catalog.Load().Servers.List
 	for _, e := range list {
+		if e.Server.Check() != nil {
+			continue
+		}
 		if !lo.ContainsBy(listed, func(v catalog.Server) bool { return v.ID == e.Server.ID }) {
 			d.expired[e.Server.ID] = Expired{Server: e.Server, Since: now.Add(-time.Duration(e.MissingMillis) * time.Millisecond)}
 		}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -67,9 +67,7 @@
 	if err != nil {
 		return err
 	}
-	for _, f := range faults {
-		d.config.Log.Debug("entryIgnored").Err(f).Send()
-	}
+	d.recordIgnored(faults, "platform")
 	d.applyServers(servers, d.config.Clock.Since(requestedAt), "platform")
 	if servers.Before(former) {
 		return merry.Errorf("the platform answered with revision %d of epoch %d, which is before %d of epoch %d",
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -61,6 +61,7 @@
 	m.counter("datagrams_unsent_total", "Datagrams that could not be sent.", c.SendFailed.Load)
 	m.counter("platform_reads_total", "Calls to the platform.", r.Reads.Load)
 	m.counter("platform_reads_failed_total", "Reads of the platform that failed.", r.FailedReads.Load)
+	m.counter("entries_ignored_total", "Entries of the list of servers that describe no usable server, once for each content.", r.Ignored.Load)
 	m.counter("servers_refused_total", "Lists of servers refused because they were older than the list in force.", r.Refused.Load)
 	m.counter("catalog_fetches_total", "Catalogs fetched from other balancers.", r.Fetches.Load)
 	m.gauge("catalog_age_seconds", "Time since the catalog was read from the platform, by this balancer or another one.", func() float64 {
