Tell entries of foreign services from agents that do not answer

Cause, found while looking for what an entry of another service does on other paths: each listed address was taken for that of an agent. Where no agent is, it counted as silent: five such entries beside two servers made a balancer believe that it was cut off, so that all balancers would fail their readiness probe; searches proved nothing while one was listed, its changes made every search begin anew, and it was pinged ten times a second.

Change: the selection learns the services that the operator has defined or that routes have named. An entry of another service whose address has never answered is foreign: it is pinged once and counts for nothing. An agent that answers there is searched like others, since a former config may have named its service.

selection foreignEntries: on the former code 7 agents due for pings instead of 2, cutOff true instead of false, and the search repeated.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -47,6 +47,16 @@
 	List []Route `json:"list"`
 	// IdleTimeout is how long a flow stays open without packets.
 	IdleTimeout time.Duration `json:"idleTimeout"`
+	// Services are the services that the operator has defined, whether or not a route leads to
+	// them; older programs omit them.
+	Services []string `json:"services,omitempty"`
+}
+
+// ServiceNames returns the services that the operator has defined or that a route leads to.
+func (r Routes) ServiceNames() []string {
+	return lo.Uniq(append(slices.Clone(r.Services), lo.FlatMap(r.List, func(v Route, _ int) []string {
+		return lo.Map(v.Shares, func(s Share, _ int) string { return s.Service })
+	})...))
 }
 
 // State determines whether a backend server receives new flows.
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -219,6 +219,7 @@
 		b.firstReadAt = b.readAt
 	}
 	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.at, lo.Values(p.servers)))
+	b.balancer.SetRoutes(b.catalog.Routes)
 	b.balancer.SetServers(b.catalog.Servers)
 	for _, v := range b.catalog.Servers.List {
 		b.everListed[v.ID] = v
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -104,6 +104,8 @@
 	mu        sync.Mutex
 	selection *selection.Selection
 	queries   queries
+	// namedVersion is the version of the routes whose services the selection knows.
+	namedVersion uint64
 	// cutOffSince is when most agents stopped answering; zero if they answer.
 	cutOffSince time.Time
 }
@@ -183,6 +185,16 @@
 	wg.Wait()
 }
 
+// SetRoutes records the services that routes lead to: those of servers with agents.
+func (b *Balancer) SetRoutes(r catalog.Routes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Version != b.namedVersion {
+		b.namedVersion = r.Version
+		b.selection.NameServices(r.ServiceNames())
+	}
+}
+
 // SetServers replaces the list of servers by that of a new catalog.
 func (b *Balancer) SetServers(s catalog.Servers) {
 	b.mu.Lock()
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -62,6 +62,7 @@
 		},
 		Send: func(raw []byte, to netip.AddrPort) { b.dataPlane.Send(raw, to) },
 		Changed: func(c *catalog.Catalog, expired []directory.Expired) {
+			b.dataPlane.SetRoutes(c.Routes)
 			b.dataPlane.SetServers(c.Servers)
 			for _, l := range expired {
 				b.dataPlane.Expire(l.Server, l.Since)
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -43,6 +43,9 @@
 			continue
 		}
 		for _, a := range agents {
+			if s.foreign(a) {
+				continue
+			}
 			s.recordSearch(a, now)
 			if !a.suspect(now) {
 				h.Agents = append(h.Agents, a.Address)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -120,6 +120,8 @@
 	// byAddress and byService index agents.
 	byAddress map[netip.AddrPort][]*Agent
 	byService map[string][]*Agent
+	// named holds the services that a version of the routes has named; empty before the first.
+	named map[string]bool
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
 	// first read after an interval longer than maxReadGap.
 	lastReadAt, readsResumedAt time.Time
@@ -176,11 +178,26 @@
 		ranker:           ranker,
 		agents:           make(map[place]*Agent),
 		tracked:          make(map[place]*Agent),
+		named:            make(map[string]bool),
 		byAddress:        make(map[netip.AddrPort][]*Agent),
 		byService:        make(map[string][]*Agent),
 	}
 }
 
+// NameServices adds services to those that routes have named. Flows may stay at servers of a
+// service that no route names any longer.
+func (s *Selection) NameServices(names []string) {
+	for _, name := range names {
+		s.named[name] = true
+	}
+}
+
+// foreign reports whether there seems to be no agent beside the server of an entry, which another
+// writer has listed: no route has ever named its service, and nothing has answered at its address.
+func (s *Selection) foreign(a *Agent) bool {
+	return len(s.named) > 0 && !s.named[a.Server.Service] && a.LastReportAt.IsZero()
+}
+
 // Update applies a new reading of the list of servers. Agents whose server is no longer
 // listed are removed after the retention period.
 func (s *Selection) Update(servers catalog.Servers, now time.Time) {
@@ -203,7 +220,7 @@
 		if now.Sub(a.UnlistedSince) > s.retain {
 			delete(s.agents, at)
 			delete(s.tracked, at)
-			s.listVersion++
+			s.recordChange(a)
 		}
 	}
 	s.index()
@@ -254,12 +271,21 @@
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
 		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), recentlyStarted: s.justStarted(v)}
 		s.agents[at], s.tracked[at] = a, a
-		s.listVersion++
+		a.Server = v
+		s.recordChange(a)
 	}
 	a.Server, a.UnlistedSince = v, time.Time{}
 	a.warmUntil = now.Add(v.Warmup)
 }
 
+// recordChange records that an agent was added, replaced or removed. Foreign entries, which may
+// change at any rate, do not count.
+func (s *Selection) recordChange(a *Agent) {
+	if !s.foreign(a) {
+		s.listVersion++
+	}
+}
+
 // justStarted reports whether a server that is listed for the first time is still
 // warming up, or has started together with this balancer or later.
 func (s *Selection) justStarted(v catalog.Server) bool {
@@ -283,7 +309,7 @@
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
 	for _, a := range s.byAddress[address] {
-		if a.suspect(now) {
+		if a.suspect(now) || s.foreign(a) {
 			a.RecoveredAt = now
 			s.recoveries++
 		}
@@ -404,7 +430,7 @@
 // previous call.
 func (s *Selection) NotifyChanges(now time.Time, changed func(a Agent, silent bool)) {
 	for _, a := range s.tracked {
-		if silent := a.suspect(now); silent != a.wasSuspect {
+		if silent := a.suspect(now) && !s.foreign(a); silent != a.wasSuspect {
 			a.wasSuspect = silent
 			changed(*a, silent)
 		}
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -51,6 +51,9 @@
 					s.Expire(v, now)
 				}
 				return ""
+			case "named":
+				s.NameServices(lo.Map(d.CmdArgs, func(a datadriven.CmdArg, _ int) string { return a.Key }))
+				return ""
 			case "report":
 				s.RecordReport(serverAddress(d.CmdArgs[0].Key), readLoad(t, d), now)
 				return ""
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -32,7 +32,7 @@
 func (s *Selection) CutOff(now time.Time) bool {
 	var sample, pinged ratio
 	for _, a := range s.tracked {
-		if !a.UnlistedSince.IsZero() {
+		if !a.UnlistedSince.IsZero() || s.foreign(a) {
 			continue
 		}
 		if a.sampled {
@@ -64,7 +64,7 @@
 // silentMayHold reports whether an agent does not answer although its server may live and
 // hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
-	return a.suspect(now) && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
+	return a.suspect(now) && !s.foreign(a) && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
 
 // silentPastLimit reports whether an agent has not answered for so long that its server
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -124,7 +124,7 @@
 // listed here, as after a power loss: flows that none of them holds are then older than the
 // servers.
 func (s *Selection) AllRecentlyStarted() bool {
-	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.recentlyStarted })
+	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.recentlyStarted || s.foreign(a) })
 }
 
 // fansOut reports whether an attempt addresses every agent directly instead of sending one
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -39,11 +39,15 @@
 )
 
 // selectMonitored selects the agents that are pinged even while they are not used: some of
-// the balancer's own zone, and a sample of all.
+// the balancer's own zone, and a sample of all. At the address of a foreign entry an agent is
+// looked for once.
 func (s *Selection) selectMonitored() {
 	var near, sample topScored
 	for _, a := range s.agents {
 		a.monitored, a.sampled = false, false
+		if s.foreign(a) {
+			continue
+		}
 		c := scored{a, s.ranker.Rank(s.key, a.hash)}
 		sample.add(c, sampleSize)
 		if a.Server.Zone == s.zone {
@@ -87,6 +91,8 @@
 	inUse, neverPinged := 0, 0
 	for at, a := range s.tracked {
 		switch {
+		case s.foreign(a) && !a.lastPingAt.IsZero():
+			delete(s.tracked, at)
 		case a.inUse(now):
 			inUse++
 		case a.UnansweredSince.IsZero() && !a.wasSuspect && !a.recentlySearched(now) && !a.lastPingAt.IsZero():
