Choose replicas of the catalog among agents only

Cause: the two replicas of a zone are the ready servers with the lowest addresses. Entries of other writers, at whose addresses no agent is, could take both places: after a restart of all balancers of a zone while the platform is down nothing would be forwarded.

Change: only servers count whose service the operator has defined or a route leads to.

TestReplicasAreAgents: "replicas at [10.0.1.1:7 10.0.1.2:7], want [10.0.1.3:7 10.0.1.4:7]" without the change.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -131,6 +131,8 @@
 	// Servers is the reading of the servers in force.
 	Servers Servers
 
+	// named holds the services in Routes.ServiceNames.
+	named     map[string]bool
 	byAddress map[netip.AddrPort]*Route
 	byService map[string][]Server
 }
@@ -148,6 +150,7 @@
 	next := *c
 	r.List = slices.Clone(r.List)
 	next.Routes = r
+	next.named = lo.SliceToMap(r.ServiceNames(), func(name string) (string, bool) { return name, true })
 	next.byAddress = make(map[netip.AddrPort]*Route, len(r.List))
 	for i := range r.List {
 		route := &r.List[i]
@@ -181,6 +184,11 @@
 	return r, ok
 }
 
+// Named reports whether the operator has defined a service, or a route leads to it.
+func (c *Catalog) Named(service string) bool {
+	return c.named[service]
+}
+
 // ServersOf returns the servers of a service. The list must not be changed.
 func (c *Catalog) ServersOf(service string) []Server {
 	return c.byService[service]
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -61,7 +61,7 @@
 func (s *store) publishAt(version uint64, at position.Position, ids ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routes = catalog.Routes{Version: version}
+	s.routes = catalog.Routes{Version: version, Services: []string{"pass"}}
 	var list []catalog.Server
 	for _, id := range ids {
 		list = append(list, catalog.Server{ID: id, Service: "pass", Zone: "a", State: catalog.Ready, Slots: 1, Address: s.address})
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -25,14 +25,16 @@
 )
 
 // replicas returns the agents to which this balancer sends digests, so that they keep
-// replicas: the same for all balancers of the zone. There are none within replicaInterval
+// replicas: the same for all balancers of the zone. Entries of services that no route names are
+// of other writers, with no agent at their address. There are none within replicaInterval
 // of the start, because other balancers come first.
 func (d *Directory) replicas() []netip.AddrPort {
 	if d.config.Replica || d.config.ReplicaPort == 0 || d.config.Clock.Since(d.started) < replicaInterval {
 		return nil
 	}
-	near := lo.Filter(d.catalog.Load().Servers.List, func(v catalog.Server, _ int) bool {
-		return v.Zone == d.config.Zone && v.State == catalog.Ready
+	c := d.catalog.Load()
+	near := lo.Filter(c.Servers.List, func(v catalog.Server, _ int) bool {
+		return v.Zone == d.config.Zone && v.State == catalog.Ready && c.Named(v.Service)
 	})
 	slices.SortFunc(near, func(a, b catalog.Server) int { return a.Address.Compare(b.Address) })
 	addresses := lo.Uniq(lo.Map(near, func(v catalog.Server, _ int) netip.AddrPort {
