Bound the age of a balancer's list whatever the other balancers do

Cause: a balancer read the platform when its list was 0.7 s old and 0.4 s more for each live balancer before it in the order of readers, and slept for that time in one piece: 4.3 s for the tenth. The bound rested on the balancers before it being alive. The same wait follows, without a loss, if the platform refuses the first nine.

Change: the delays of all ranks end at two thirds of the change bound, 2 s of 3. The first three ranks keep their steps of 0.4 s, the others follow in the remaining time, by the logarithm of the rank. A balancer whose read has failed says so in its digests and has no place in the order. Whoever learns of a reading when its own is overdue passes it on at once, so that few others read after a loss of the first. While all reads fail, only the first three try each half second, the others every 2 s. The interval after which the platform counts as having been away follows the same bound.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -36,6 +36,9 @@
 	// lostMargin is how much longer than the contact bound an agent has to be silent before
 	// its flows count as lost: an agent that was only paused must not lose them.
 	lostMargin = time.Second
+	// readingShare is the part of the change bound after which a balancer reads the platform
+	// whatever the others do; the rest is for the reading itself.
+	readingShare = 2.0 / 3
 	// expiryShare is the part of the reuse bound for which a server stays in use after its
 	// entry was removed or has expired.
 	expiryShare = 0.9
@@ -58,6 +61,13 @@
 	return time.Duration(expiryShare * float64(min(b.AddressReuse, DefaultAddressReuse)))
 }
 
+// MaxReadingAge returns the age of the list of servers at which a balancer reads the platform
+// itself. A change must be in force within the change bound although all other balancers may
+// have stopped, or be unable to read.
+func (b Bounds) MaxReadingAge() time.Duration {
+	return time.Duration(readingShare * float64(min(b.Change, DefaultChange)))
+}
+
 // ScalePeriod scales a period of the exchange of state, which is given for the default change
 // bound, to the bound in b. A bound longer than the default does not lengthen the period.
 func (b Bounds) ScalePeriod(period time.Duration) time.Duration {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,6 +124,8 @@
 	// leaving is true if it was about to stop then. It forwards packets until it stops, so it
 	// still receives digests, but no other balancer waits for its readings.
 	leaving bool
+	// failing is true if its latest read of the platform had failed.
+	failing bool
 }
 
 // Counts are totals since the start.
@@ -299,14 +301,26 @@
 func (d *Directory) recordReading(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if at.After(d.readAt) {
-		d.readAt = at
-	}
+	d.advanceReading(at)
 	if d.firstReadAt.IsZero() {
 		d.firstReadAt = d.readAt
 	}
 }
 
+// advanceReading sets the time of the latest reading unless it is earlier than the present one.
+// If that was so old that others may be about to read as well, they are notified at once. The
+// caller holds the lock.
+func (d *Directory) advanceReading(at time.Time) {
+	if !at.After(d.readAt) {
+		return
+	}
+	overdue := !d.readAt.IsZero() && at.Sub(d.readAt) > d.pace(readInterval+rankStep)
+	d.readAt = at
+	if overdue && !d.config.Replica {
+		go d.sendDigests()
+	}
+}
+
 // updateExpired records the servers that are in the former list only, and drops those
 // that are listed again or expired long ago. The caller holds the lock.
 func (d *Directory) updateExpired(before, after []catalog.Server) {
@@ -337,6 +351,7 @@
 		Age:           d.config.Clock.Since(d.readAt),
 		Sum:           d.sum,
 		Leaving:       d.leaving,
+		Failing:       !d.failedSince.IsZero(),
 		Corroborated:  d.corroboratedLocked(),
 		Replica:       d.config.Replica,
 	}
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -124,7 +124,7 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving}
+	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing}
 	if d.config.Replica {
 		members = nil
 	}
@@ -136,7 +136,7 @@
 	c := d.catalog.Load()
 	readAt := now.Add(-f.Age)
 	if f.Sum == d.sum && d.sum == d.passedSum && f.Revision > 0 && readAt.After(d.readAt) {
-		d.readAt = readAt
+		d.advanceReading(readAt)
 		if c.Servers.Before(f.Position) {
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
 		}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -12,17 +13,19 @@
 // Timing of the reads.
 const (
 	// readInterval is the age of the catalog at which the first balancer reads the platform
-	// again. With the time of the exchange and one failed reader, changes still arrive well
-	// within the 3 s after which a draining server must receive no new flows.
+	// again.
 	readInterval = 700 * time.Millisecond
 	// startReadInterval is the age at which a balancer that has just started, and whose list
 	// no other balancer has confirmed, reads the servers again. After a loss of power the
 	// servers register within a few hundred milliseconds, and until all have done so no
 	// search can prove that no server holds a flow.
 	startReadInterval = 150 * time.Millisecond
-	// rankStep is how much later each next balancer reads if those before it have not
-	// read; it is longer than an exchange takes.
+	// rankStep is how much later each of the next steppedRanks balancers reads if those before
+	// it have not read; it is longer than an exchange takes.
 	rankStep = 400 * time.Millisecond
+	// steppedRanks is how many balancers after the first read one by one. The others follow
+	// until the list has the greatest age that the change bound allows.
+	steppedRanks = 2
 	// retryInterval is the pause after a failed read, and after a failed accept.
 	retryInterval = 500 * time.Millisecond
 	// memberTimeout is how long a silent balancer keeps its rank in the order of
@@ -31,9 +34,10 @@
 )
 
 // readPlatform reads the platform whenever the catalog is older than the rank of this
-// balancer among the live ones allows. Watches of the platform are not used: they may
-// miss changes without an error.
+// balancer among the live ones allows, at the latest when it has the greatest age that the change
+// bound allows. Watches of the platform are not used: they may miss changes without an error.
 func (d *Directory) readPlatform(ctx context.Context) {
+	pause := retryInterval
 	for ctx.Err() == nil {
 		if wait := d.untilDue(); wait > 0 {
 			d.sleep(ctx, wait)
@@ -42,13 +46,25 @@
 		err := d.read(ctx)
 		d.recordRead(err)
 		if err != nil {
-			d.sleep(ctx, retryInterval)
+			d.sleep(ctx, pause)
+			pause = d.nextPause(pause)
 			continue
 		}
+		pause = retryInterval
 		d.sendDigests()
 	}
 }
 
+// nextPause returns the pause after a further failed read. In an outage the first balancers go on
+// trying, and the others ever less often: only as often as the platform must be read if it
+// refuses just the first ones.
+func (d *Directory) nextPause(pause time.Duration) time.Duration {
+	if rank, _ := d.rank(member.mayRead); rank <= steppedRanks {
+		return retryInterval
+	}
+	return min(2*pause, d.config.Bounds.MaxReadingAge())
+}
+
 // read reads the routes, except right after the start, and the servers. It returns an error if
 // a call fails, or if the platform answers with an older state than before.
 func (d *Directory) read(ctx context.Context) error {
@@ -79,7 +95,7 @@
 // untilDue returns the time until this balancer must read the platform; 0 or less if it
 // must read now.
 func (d *Directory) untilDue() time.Duration {
-	rank := d.rank()
+	delay := d.readDelay(d.rank(member.reads))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.readAt.IsZero() {
@@ -89,8 +105,20 @@
 	if d.startingLocked() {
 		interval = startReadInterval
 	}
-	due := d.readAt.Add(interval + time.Duration(rank)*d.pace(rankStep))
-	return due.Sub(d.config.Clock.Now())
+	return d.readAt.Add(interval + delay).Sub(d.config.Clock.Now())
+}
+
+// readDelay returns how much later than the first one the balancer of a rank reads, out of count
+// balancers. Whatever they do, none lets its list become older than MaxReadingAge. If the first
+// ones are lost together, few others read before they learn of the first reading: each time the
+// delay grows by a constant, the number of those that have read at most doubles.
+func (d *Directory) readDelay(rank, count int) time.Duration {
+	stepped := time.Duration(min(rank, steppedRanks)) * d.pace(rankStep)
+	if rank <= steppedRanks {
+		return stepped
+	}
+	rest := d.config.Bounds.MaxReadingAge() - d.pace(readInterval) - stepped
+	return stepped + time.Duration(float64(rest)*math.Log(float64(rank)/steppedRanks)/math.Log(float64(count)/steppedRanks))
 }
 
 // starting reports whether this balancer got its first catalog less than readInterval
@@ -106,16 +134,25 @@
 	return !d.firstReadAt.IsZero() && !d.confirmed && d.config.Clock.Since(d.firstReadAt) < d.pace(readInterval)
 }
 
-// rank returns the place of this balancer in the order of readers, from 0: live balancers
-// are ordered by address. Those that are about to stop do not count, nor do those whose list
-// is from an earlier epoch, or from an unknown one, because this balancer would not apply their
-// lists.
-func (d *Directory) rank() int {
+// mayRead reports whether a balancer reads the platform for others, as soon as it can. Those that
+// are about to stop do not, nor do those whose list is from an earlier epoch than the given one,
+// or from an unknown one: their lists would not be applied.
+func (m member) mayRead(epoch uint64) bool {
+	return !m.leaving && m.epoch >= epoch
+}
+
+// reads reports whether a balancer reads the platform for others.
+func (m member) reads(epoch uint64) bool {
+	return m.mayRead(epoch) && !m.failing
+}
+
+// rank returns the place of this balancer in the order of readers, from 0, and their number: live
+// balancers that satisfy the predicate are ordered by address.
+func (d *Directory) rank(counts func(m member, epoch uint64) bool) (rank, count int) {
 	epoch := d.catalog.Load().Servers.Epoch
-	before := lo.PickBy(d.staying(), func(a netip.AddrPort, m member) bool {
-		return m.epoch >= epoch && a.Compare(d.config.Self) < 0
-	})
-	return len(before)
+	readers := lo.PickBy(d.live(), func(_ netip.AddrPort, m member) bool { return counts(m, epoch) })
+	before := lo.CountBy(lo.Keys(readers), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
+	return before, len(readers) + 1
 }
 
 // staying returns the other balancers that are live and not about to stop.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -42,10 +42,9 @@
 	// list to count as removed, with all its flows: after an outage of the platform,
 	// entries of live servers return within 2 s.
 	removedAfter = 2500 * time.Millisecond
-	// maxReadGap is the longest interval between two readings of the list; after a longer
-	// one the platform counts as having been unavailable. Readers take turns of at most
-	// 0.7 s, and 0.4 s more if a reader is lost.
-	maxReadGap = 1500 * time.Millisecond
+	// readGapMargin is how much longer than the greatest age of a list the interval between two
+	// readings may be; after a longer one the platform counts as having been unavailable.
+	readGapMargin = 500 * time.Millisecond
 	// suspectTimeout is how long an agent may leave a message unanswered before it counts
 	// as silent: time for several round trips between zones, and for several scheduling
 	// delays of a small processor.
@@ -123,7 +122,7 @@
 	// named holds the services that a version of the routes has named; empty before the first.
 	named map[string]bool
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
-	// first read after an interval longer than maxReadGap.
+	// first read after an interval in which the platform was unavailable.
 	lastReadAt, readsResumedAt time.Time
 	// interruptedUntil is when the entries of live servers that are missing because of the
 	// latest interruption of the platform have returned; zero if there was none.
@@ -411,7 +410,7 @@
 // RecordRead records when the list of servers was last read, by this balancer or another
 // reader.
 func (s *Selection) RecordRead(at time.Time) {
-	if at.Sub(s.lastReadAt) > maxReadGap {
+	if at.Sub(s.lastReadAt) > s.bounds.MaxReadingAge()+readGapMargin {
 		s.readsResumedAt = at
 		if !s.lastReadAt.IsZero() {
 			s.interruptedUntil = at.Add(removedAfter)
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -25,6 +25,8 @@
 	Sum uint64
 	// Leaving is true if the sender is about to stop.
 	Leaving bool
+	// Failing is true if the sender's latest read of the platform has failed.
+	Failing bool
 	// Corroborated is true if the sender's list of servers is confirmed to be complete: it
 	// holds every server that may run.
 	Corroborated bool
@@ -38,6 +40,7 @@
 	leavingFlag = 1 << iota
 	corroboratedFlag
 	replicaFlag
+	failingFlag
 )
 
 const (
@@ -57,7 +60,7 @@
 	binary.BigEndian.PutUint64(b[10:], f.Revision)
 	binary.BigEndian.PutUint32(b[18:], uint32(min(f.Age.Milliseconds(), 1<<32-1)))
 	binary.BigEndian.PutUint64(b[22:], f.Sum)
-	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag) | flag(f.Replica, replicaFlag)
+	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag) | flag(f.Replica, replicaFlag) | flag(f.Failing, failingFlag)
 	members = members[:min(len(members), MaxMembers)]
 	b[31] = byte(len(members))
 	for i, m := range members {
@@ -93,6 +96,7 @@
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
 		Leaving:       b[30]&leavingFlag != 0,
+		Failing:       b[30]&failingFlag != 0,
 		Corroborated:  b[30]&corroboratedFlag != 0,
 		Replica:       b[30]&replicaFlag != 0,
 	}, members, true
