Let a digest confirm the catalog only if its sender has nothing newer

Cause, of the same class as the lost readers: a digest with the same servers postponed the next reading, also if its sender had newer routes. If the fetch from that balancer hangs or fails while its datagrams arrive, the routes stayed as they were for as long as it lives, without a bound. A balancer that was suspended states an age that lacks the suspension; its digest postponed the reading of others, too.

Change: a digest confirms the catalog only if the sender has no newer routes and its list is not from an earlier position.

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -135,7 +135,7 @@
 	}
 	c := d.catalog.Load()
 	readAt := now.Add(-f.Age)
-	if f.Sum == d.sum && d.sum == d.passedSum && f.Revision > 0 && readAt.After(d.readAt) {
+	if d.confirms(f) {
 		d.advanceReading(readAt)
 		if c.Servers.Before(f.Position) {
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
@@ -148,6 +148,16 @@
 	}
 }
 
+// confirms reports whether the reading that a digest states confirms the catalog in force: it
+// showed the same servers at the same or a later position, and its sender has no newer routes. A
+// balancer that cannot fetch those must not rely on the sender's readings. The caller holds the
+// lock.
+func (d *Directory) confirms(f steer.Freshness) bool {
+	c := d.catalog.Load()
+	return f.Revision > 0 && f.Sum == d.sum && d.sum == d.passedSum &&
+		f.RoutesVersion <= c.Routes.Version && !f.Position.Before(c.Servers.Position)
+}
+
 // lacksServers reports whether the sender of a digest has a newer list of servers than this
 // balancer. readAt is when the sender's list was read. The caller holds the lock.
 func (d *Directory) lacksServers(f steer.Freshness, readAt time.Time) bool {
