Drop QUIC datagrams at agents that cannot hold their flow

The rule of resets holds for QUIC flows as well: the connection ID names the only agent that can hold a flow. But agents share the key of stateless resets, and an agent answered any datagram of an unknown flow with one, also if its connection ID named another agent; a datagram that went astray would have ended a flow that lives elsewhere.

Change: the relay drops such a datagram and counts it (otherHolder). One whose connection ID it cannot decrypt still reaches QUIC: the flow may be older than the agent's keys.

TestDatagramsOfOtherAgents: two of four datagrams are dropped. No fault was seen on real processes; balancers address datagrams by the same ID.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -120,6 +120,7 @@
 		Listen:    c.Listen,
 		Service:   section.ID(c.Service),
 		Networks:  c.Networks,
+		Holder:    func(id []byte) (netip.AddrPort, uint32, bool) { return c.Codec().Open(id) },
 		AdmitFlow: a.admitFlow,
 		Clock:     c.Clock,
 	})
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -13,6 +13,7 @@
 		r.MustRegister(counterFunc("drops_total", "Datagrams dropped, by reason.", "reason", reason, value))
 	}
 	drop("wrongService", c.WrongService.Load)
+	drop("otherHolder", c.OtherHolder.Load)
 	drop("foreign", c.Foreign.Load)
 	drop("malformed", c.Malformed.Load)
 	drop("refused", c.Refused.Load)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,9 @@
 	Service uint32
 	// Networks are the networks in which balancers and agents may be; never empty.
 	Networks []netip.Prefix
+	// Holder returns the agent that a connection ID names, and its service. It returns false if
+	// the ID cannot be decrypted.
+	Holder func(id []byte) (agent netip.AddrPort, service uint32, ok bool)
 	// AdmitFlow reports whether this agent admits a new flow. last is true if no other
 	// agent follows in the list of candidates.
 	AdmitFlow func(last bool) bool
@@ -63,6 +66,9 @@
 type Counts struct {
 	// WrongService counts datagrams for another service, which are dropped.
 	WrongService atomic.Uint64
+	// OtherHolder counts datagrams of established flows whose connection ID names another agent,
+	// which are dropped.
+	OtherHolder atomic.Uint64
 	// Foreign counts datagrams from outside the permitted networks, which are dropped.
 	Foreign atomic.Uint64
 	// Malformed counts datagrams without a valid envelope, which are dropped.
@@ -172,7 +178,27 @@
 		c.counts.WrongService.Add(1)
 		return e, nil, false
 	}
-	return e, datagram, !e.NewFlow || c.admitNewFlow(e, datagram)
+	if e.NewFlow {
+		return e, datagram, c.admitNewFlow(e, datagram)
+	}
+	return e, datagram, c.mayHold(datagram)
+}
+
+// mayHold reports whether this agent may hold the flow of a datagram, so that it may answer with
+// a stateless reset if it does not. All agents share the key of these resets, and the reset of
+// another agent's flow would end it.
+func (c *Conn) mayHold(datagram []byte) bool {
+	h, ok := quicheader.Parse(datagram, connid.Len)
+	if !ok {
+		c.counts.Malformed.Add(1)
+		return false
+	}
+	agent, service, ok := c.config.Holder(h.DestinationID)
+	if ok && (agent != c.config.Listen || service != c.config.Service) {
+		c.counts.OtherHolder.Add(1)
+		return false
+	}
+	return true
 }
 
 // admitNewFlow reports whether this agent admits the new flow of a datagram; if not, it
