Ask only the services that a route has led to, once they are known

Cause: the rule of resets made every search ask all agents of all services, so that the messages for a lost flow grew with the fleet, and one silent agent of any service kept all lost flows from being reset.

Change: internal/routehistory remembers for as long as a flow may last which services the routes have led to. A balancer whose history covers that time, or that has started together with all servers, asks the agents of these services only, and only their silence counts; others ask all. The route in force when the evidence is judged counts, so a reading now begins before its routes are read. Queries are at least 0.1 ms apart for each agent that was asked: 10,000 a second at most, whatever the fleet.

--- a/internal/absence/absence.go
+++ b/internal/absence/absence.go
@@ -23,10 +23,10 @@
 	// Interrupted is true if entries of live servers may be missing from the list because the
 	// platform was unavailable, or returned from a backup, a moment ago.
 	Interrupted bool
-	// AllDenied is true if every agent that answers has denied the flow since it was listed,
-	// whatever the service of its server: the route may have led to another service before.
+	// AllDenied is true if every agent that answers has denied the flow, of all services to which
+	// its route has led for as long as a flow may last, or of any if that is unknown.
 	AllDenied bool
-	// SilentMayHold is true if an agent does not answer although its server may live.
+	// SilentMayHold is true if one of these agents does not answer although its server may live.
 	SilentMayHold bool
 }
 
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -68,6 +68,7 @@
 // read reads the routes, except right after the start, and the servers. It returns an error if
 // a call fails, or if the platform answers with an older state than before.
 func (d *Directory) read(ctx context.Context) error {
+	requestedAt := d.config.Clock.Now()
 	if !d.starting() {
 		d.counts.Reads.Add(1)
 		routes, err := d.config.Source.Routes(ctx)
@@ -78,7 +79,6 @@
 	}
 	d.counts.Reads.Add(1)
 	former := d.catalog.Load().Servers.Position
-	requestedAt := d.config.Clock.Now()
 	servers, faults, err := d.config.Source.Servers(ctx)
 	if err != nil {
 		return err
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -19,6 +19,9 @@
 	// queryInterval is the minimum interval between two queries, so that flows which are
 	// unknown at the same time share one.
 	queryInterval = 10 * time.Millisecond
+	// queriedAgentInterval is added to it for each agent that was queried, so that a balancer
+	// sends at most 10,000 queries a second, whatever the number of agents.
+	queriedAgentInterval = 100 * time.Microsecond
 	// answerTimeout is how long agents may take to answer. By then, agents that are down are
 	// detected by their unanswered pings.
 	answerTimeout = 300 * time.Millisecond
@@ -68,6 +71,7 @@
 // queryTarget states when a query was sent, and to which agents.
 type queryTarget struct {
 	at      time.Time
+	scope   scope
 	holders selection.Holders
 }
 
@@ -89,8 +93,9 @@
 	byFlow map[packet.Flow]*searchedFlow
 	// pending holds the flows that wait for the next query.
 	pending []*searchedFlow
-	// lastSentAt is when the latest query was sent.
+	// lastSentAt is when the latest query was sent, and pause the time to the next one.
 	lastSentAt time.Time
+	pause      time.Duration
 	lastID     uint32
 	open       map[uint32]*flowQuery
 }
@@ -129,8 +134,8 @@
 	return now.Sub(f.denied.at) <= notHeldRetention && b.selection.AllListed(f.denied.holders)
 }
 
-// queryFlow queries all agents about a flow that is searched, unless they have denied it, together
-// with the other flows that become unknown within queryInterval.
+// queryFlow queries the agents about a flow that is searched, unless they have denied it, together
+// with the other flows that become unknown until the next query is due.
 func (b *Balancer) queryFlow(flow packet.Flow) {
 	now := b.config.Clock.Now()
 	b.mu.Lock()
@@ -142,7 +147,7 @@
 	}
 	f.searching, f.searchedAt = true, now
 	q.pending = append(q.pending, f)
-	due := now.Sub(q.lastSentAt) >= queryInterval
+	due := now.Sub(q.lastSentAt) >= q.pause
 	b.mu.Unlock()
 	if due {
 		b.sendQueries()
@@ -155,7 +160,7 @@
 	b.mu.Lock()
 	q := &b.queries
 	pending := q.pending
-	q.pending, q.lastSentAt = nil, now
+	q.pending, q.lastSentAt, q.pause = nil, now, queryInterval
 	b.mu.Unlock()
 	for _, route := range lo.Uniq(lo.Map(pending, func(f *searchedFlow, _ int) *catalog.Route { return f.route })) {
 		flows := lo.Filter(pending, func(f *searchedFlow, _ int) bool { return f.route == route })
@@ -165,23 +170,25 @@
 	}
 }
 
-// sendQuery queries all agents about some flows of a route. Agents of the route that do not answer
-// pings receive copies of the packets instead.
+// sendQuery queries the agents that may hold flows of a route about some of them. Those of its
+// services that do not answer pings receive copies of the packets instead.
 func (b *Balancer) sendQuery(route *catalog.Route, flows []*searchedFlow, now time.Time) {
 	b.mu.Lock()
 	q := &b.queries
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flows[0].flow)
-	holders := b.selection.Holders(hash, route.Services(hash), now)
+	s := b.scope(route, hash, b.allServices(now), now)
+	holders := b.selection.Holders(hash, s.services, s.all, now)
 	q.lastID++
 	id := q.lastID
 	query := &flowQuery{
 		QueryResult: census.NewQueryResult(len(flows), holders.Agents, now), flows: flows,
 	}
 	for _, f := range flows {
-		f.queried, f.envelope.ListVersion = queryTarget{now, holders}, holders.ListVersion
+		f.queried, f.envelope.ListVersion = queryTarget{now, s, holders}, holders.ListVersion
 	}
 	q.open[id] = query
+	q.pause += time.Duration(len(holders.Agents)) * queriedAgentInterval
 	b.mu.Unlock()
 	b.counts.Queried.Add(uint64(len(flows)))
 	b.config.Log.Info("flowsAsked").Int("flows", len(flows)).Stringer("first", flows[0].flow).
@@ -350,7 +357,7 @@
 	var expired []uint32
 	b.mu.Lock()
 	q := &b.queries
-	pending := len(q.pending) > 0
+	pending := len(q.pending) > 0 && now.Sub(q.lastSentAt) >= q.pause
 	for id, i := range q.open {
 		if now.Sub(i.SentAt) >= answerTimeout {
 			expired = append(expired, id)
@@ -372,15 +379,16 @@
 // reviewSearches judges the flows that are searched by the present evidence, and repeats the
 // search for those about which a further one can prove something.
 func (b *Balancer) reviewSearches(now time.Time) {
-	common := b.commonEvidence(now)
+	reading := b.reading()
 	var due []packet.Flow
 	proved := make(map[*searchedFlow]absence.Evidence)
 	b.mu.Lock()
+	r := b.newReview(reading, now)
 	for flow, f := range b.queries.byFlow {
 		if f.searching && now.Sub(f.searchedAt) >= answerTimeout+searchTimeout {
 			f.searching, f.onUnknownPath = false, false
 		}
-		e := b.evidence(f, common, now)
+		e := b.evidence(f, r)
 		switch {
 		case now.Sub(f.receivedAt) >= searchRetention:
 			delete(b.queries.byFlow, flow)
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -1,46 +1,108 @@
 package packetbalancer
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/absence"
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 )
 
-// commonEvidence returns the evidence that is the same for all flows.
-func (b *Balancer) commonEvidence(now time.Time) absence.Evidence {
-	corroborated, noCorroboratedPeer, readAt := b.config.Corroborated(), b.config.NoCorroboratedPeer(), b.config.ReadAt()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.selection.RecordRead(readAt)
-	return absence.Evidence{
-		ListReadAt:    readAt,
-		ListConfirmed: corroborated || noCorroboratedPeer && b.selection.AllRecentlyStarted(),
-		Interrupted:   b.selection.Interrupted(),
-		SilentMayHold: b.selection.SilentMayHold(now),
+// scope is the set of services whose servers may hold the flows of a route.
+type scope struct {
+	services []string
+	// all is true if servers of any other service may, too: the route may have led there before
+	// this balancer knew it.
+	all bool
+}
+
+// covers reports whether s contains another scope.
+func (s scope) covers(o scope) bool {
+	return s.all || !o.all && lo.Every(s.services, o.services)
+}
+
+// scope returns the scope of a route, its services first in the order for a flow with the given
+// hash. all is the result of allServices. The caller holds the lock.
+func (b *Balancer) scope(route *catalog.Route, hash uint64, all bool, now time.Time) scope {
+	return scope{lo.Uniq(append(route.Services(hash), b.routes.Former(route.Address, now)...)), all}
+}
+
+// allServices reports whether it is unknown which services the routes have led to for as long as
+// a flow may last. After a common start the servers are too young to hold flows of unknown routes.
+// The caller holds the lock.
+func (b *Balancer) allServices(now time.Time) bool {
+	return !b.routes.Complete(now) && !b.selection.AllRecentlyStarted()
+}
+
+// review holds what is the same for all flows that are judged at one time.
+type review struct {
+	now     time.Time
+	catalog *catalog.Catalog
+	common  absence.Evidence
+	all     bool
+	// silent holds, by service address, whether an agent that does not answer may hold its flows.
+	silent map[netip.AddrPort]bool
+}
+
+// newReview returns a review of the present state. The caller holds the lock. The reading of the
+// list is determined before, so that the selection has that list or a newer one.
+func (b *Balancer) newReview(r reading, now time.Time) review {
+	b.selection.RecordRead(r.at)
+	return review{
+		now: now, catalog: b.config.Catalog(), all: b.allServices(now), silent: make(map[netip.AddrPort]bool),
+		common: absence.Evidence{
+			ListReadAt:    r.at,
+			ListConfirmed: r.corroborated || r.noCorroboratedPeer && b.selection.AllRecentlyStarted(),
+			Interrupted:   b.selection.Interrupted(),
+		},
 	}
 }
 
-// evidence returns the evidence about a flow that is searched. The caller holds the lock.
-func (b *Balancer) evidence(f *searchedFlow, common absence.Evidence, now time.Time) absence.Evidence {
-	e := common
+// reading is the state of the list of servers.
+type reading struct {
+	at                               time.Time
+	corroborated, noCorroboratedPeer bool
+}
+
+// reading returns the state of the list of servers. The caller does not hold the lock.
+func (b *Balancer) reading() reading {
+	return reading{b.config.ReadAt(), b.config.Corroborated(), b.config.NoCorroboratedPeer()}
+}
+
+// evidence returns the evidence about a flow that is searched. The route that is in force counts,
+// because the flow may have been opened by it. The caller holds the lock.
+func (b *Balancer) evidence(f *searchedFlow, r review) absence.Evidence {
+	e := r.common
 	e.OpenSince = f.openSince
-	e.AllDenied = b.denied(f, now)
+	route, ok := r.catalog.Route(f.flow.Service())
+	if !ok {
+		return e
+	}
+	s := b.scope(route, 0, r.all, r.now)
+	silent, known := r.silent[route.Address]
+	if !known {
+		silent = b.selection.SilentMayHold(s.services, s.all, r.now)
+		r.silent[route.Address] = silent
+	}
+	e.AllDenied = b.denied(f, r.now) && f.denied.scope.covers(s)
+	e.SilentMayHold = silent
 	return e
 }
 
 // resolve resets a flow that is searched if the evidence proves that no server holds it. In any
 // doubt it does nothing: maintainSearches resolves the flow again.
 func (b *Balancer) resolve(flow packet.Flow) {
-	now := b.config.Clock.Now()
-	common := b.commonEvidence(now)
+	now, reading := b.config.Clock.Now(), b.reading()
 	b.mu.Lock()
 	f := b.queries.byFlow[flow]
 	if f == nil || f.searching {
 		b.mu.Unlock()
 		return
 	}
-	e := b.evidence(f, common, now)
+	e := b.evidence(f, b.newReview(reading, now))
 	proved := b.judge(f, e)
 	b.mu.Unlock()
 	if proved {
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -19,6 +19,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
+	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/selection"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
@@ -104,8 +105,8 @@
 	mu        sync.Mutex
 	selection *selection.Selection
 	queries   queries
-	// namedVersion is the version of the routes whose services the selection knows.
-	namedVersion uint64
+	// routes holds the services that routes have led to.
+	routes *routehistory.History
 	// cutOffSince is when most agents stopped answering; zero if they answer.
 	cutOffSince time.Time
 }
@@ -159,6 +160,7 @@
 		transport: w,
 		cache:     recent.NewMap[packet.Flow, cacheEntry](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Bounds, c.Clock.Now()),
+		routes:    routehistory.NewHistory(c.MaxFlow),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 		queries:   queries{byFlow: make(map[packet.Flow]*searchedFlow), open: make(map[uint32]*flowQuery)},
 	}
@@ -185,12 +187,11 @@
 	wg.Wait()
 }
 
-// SetRoutes records the services that routes lead to: those of servers with agents.
+// SetRoutes records the services that routes lead to.
 func (b *Balancer) SetRoutes(r catalog.Routes) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.Version != b.namedVersion {
-		b.namedVersion = r.Version
+	if b.routes.Record(r, b.config.Clock.Now()) {
 		b.selection.NameServices(r.ServiceNames())
 	}
 }
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -12,10 +12,10 @@
 
 // Holders lists the agents that may hold an unknown flow.
 type Holders struct {
-	// Agents are those to query: first those of the services that the route names, the likeliest
-	// holder first, then those of all others, from which the route may have moved.
+	// Agents are those to query: first those of the given services, the likeliest holder first,
+	// then those of the others.
 	Agents []netip.AddrPort
-	// Silent are agents of the route's services that do not answer, at most
+	// Silent are agents of the given services that do not answer, at most
 	// steer.MaxCandidates.
 	Silent []steer.Candidate
 	// ListVersion is the version of the list of agents, and Recoveries how often one of them had
@@ -24,9 +24,9 @@
 	Recoveries  uint32
 }
 
-// Holders returns all agents that may hold a flow of the given hash, whose route leads to the
-// services, and records that they are searched.
-func (s *Selection) Holders(hash uint64, services []string, now time.Time) Holders {
+// Holders returns the agents of the services, and those of all others if it is unknown which may
+// hold a flow of the given hash. It records that they are searched.
+func (s *Selection) Holders(hash uint64, services []string, all bool, now time.Time) Holders {
 	h := Holders{ListVersion: s.listVersion, Recoveries: s.recoveries}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
@@ -39,7 +39,7 @@
 		}
 	}
 	for service, agents := range s.byService {
-		if slices.Contains(services, service) {
+		if !all || slices.Contains(services, service) {
 			continue
 		}
 		for _, a := range agents {
@@ -56,10 +56,12 @@
 	return h
 }
 
-// SilentMayHold reports whether any agent does not answer although its server may live and
-// hold flows.
-func (s *Selection) SilentMayHold(now time.Time) bool {
-	return lo.SomeBy(lo.Values(s.tracked), func(a *Agent) bool { return s.silentMayHold(a, now) })
+// SilentMayHold reports whether an agent of the services, or any agent, does not answer although
+// its server may live and hold flows.
+func (s *Selection) SilentMayHold(services []string, all bool, now time.Time) bool {
+	return lo.SomeBy(lo.Values(s.tracked), func(a *Agent) bool {
+		return (all || slices.Contains(services, a.Server.Service)) && s.silentMayHold(a, now)
+	})
 }
 
 // AllListed reports whether the agents that h lists, and those that were silent then, are all
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -251,11 +251,11 @@
 // holders prints how many agents of the service are queried concurrently, and which of them are
 // silent.
 func holders(s *Selection, now time.Time) string {
-	h := s.Holders(s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, now)
+	h := s.Holders(s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, true, now)
 	queried := lo.CountBy(s.byService["pass"], func(a *Agent) bool { return slices.Contains(h.Agents, a.Address) })
 	silent := lo.Map(h.Silent, func(c steer.Candidate, _ int) string { return number(c) })
 	slices.Sort(silent)
-	return fmt.Sprintf("%d agents; silent %s; hidden %t", queried, strings.Join(silent, " "), s.SilentMayHold(now))
+	return fmt.Sprintf("%d agents; silent %s; hidden %t", queried, strings.Join(silent, " "), s.SilentMayHold(nil, true, now))
 }
 
 // searchPath prints the agents of a search path and those skipped, and whether the path visits
@@ -277,7 +277,7 @@
 	}
 	skipped := s.SearchPath(&e, nil, s.Hash(packet.Flow{CallerPort: 1}), []string{"pass"}, s.PreviousSearch(previousStart, e.ListVersion, []string{"pass"}, now), now)
 	*previous = e
-	complete := !e.More && (!fansOut(e.Attempt) || len(skipped) == 0) && !s.SilentMayHold(now)
+	complete := !e.More && (!fansOut(e.Attempt) || len(skipped) == 0) && !s.SilentMayHold(nil, true, now)
 	list := lo.Map(e.Candidates[:e.Count], func(c steer.Candidate, _ int) string { return number(c) })
 	out := fmt.Sprintf("agents %s", strings.Join(list, " "))
 	if len(list) > 12 {
