--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -258,14 +258,14 @@
 	}
 	for n, f := range query.flows {
 		if !query.Found(n) {
-			b.endUnfound(f, query.PossibleHolders(n), query.Complete())
+			b.endUnfound(f, query.PossibleHolders(n))
 		}
 	}
 }
 
 // endUnfound ends the query about a flow that no agent holds for certain. unknown are the agents
-// that have not denied it; allAnswered is true if all of them have answered Unknown.
-func (b *Balancer) endUnfound(f *searchedFlow, unknown []netip.AddrPort, allAnswered bool) {
+// that have not denied it.
+func (b *Balancer) endUnfound(f *searchedFlow, unknown []netip.AddrPort) {
 	b.mu.Lock()
 	f.remaining = unknown
 	retried, e := f.retries > 0, f.envelope
@@ -279,7 +279,7 @@
 		b.recordNotHeld(steer.NotFoundNotice{Flow: f.flow, Searched: true, Attempt: e.Attempt, ListVersion: e.ListVersion})
 		b.resolve(f.flow)
 	case retried:
-		b.endRetried(f, allAnswered)
+		b.endInconclusive(f)
 	default:
 		b.searchUnknown(f)
 	}
@@ -319,23 +319,13 @@
 	b.send(&e, f.buffer())
 }
 
-// endRetried ends a search that the balancer repeated on its own and to which some agents answered
-// Unknown. If all others have denied the flow, one of these holds it, and each gets a direct
-// copy of the packet. Otherwise their servers receive it only when its caller repeats it: copies
-// that reach other servers and not its own would count as a misrouted flow.
-func (b *Balancer) endRetried(f *searchedFlow, allAnswered bool) {
+// endInconclusive ends a search that the balancer repeated on its own and to which some agents
+// answered Unknown. Their servers receive the packet only when its caller repeats it: a late
+// copy that reaches other servers before its own would count as a misrouted flow.
+func (b *Balancer) endInconclusive(f *searchedFlow) {
 	b.mu.Lock()
-	f.searching = false
-	e := f.envelope
-	var copies []steer.Candidate
-	for _, a := range f.remaining {
-		copies = append(copies, steer.Candidate{Agent: a, Slots: b.selection.Agent(a).Server.Slots})
-	}
-	f.remaining = nil
-	b.mu.Unlock()
-	if allAnswered && len(copies) <= steer.MaxCandidates {
-		b.sendDirectCopies(e, copies, f.buffer())
-	}
+	defer b.mu.Unlock()
+	f.searching, f.remaining = false, nil
 }
 
 // continueSearch sends the packet of a flow that has visited a page of agents which answered
