Never take a list for one that was read in the future

Change: the time of the reading is set with the list again; the data plane gets the time of the list that it has. Ages that another directory states are bounded: a list, or an entry that has expired, is never younger than now.

TestAgeOfAppliedList fails without the change: "served as ms old", "read at 2319-03-17".

--- a/internal/directory/confirm_test.go
+++ b/internal/directory/confirm_test.go
@@ -42,7 +42,9 @@
 		{"earlierRevision", func(f *steer.Freshness) { f.Revision = 6 }, false},
 		{"earlierEpoch", func(f *steer.Freshness) { f.Epoch = 0 }, false},
 	} {
-		d.recordReading(clock.Now())
+		d.mu.Lock()
+		d.advanceReading(clock.Now())
+		d.mu.Unlock()
 		clock.Advance(time.Second)
 		digest := steer.Freshness{RoutesVersion: 4, Position: d.Catalog().Servers.Position, Sum: d.sum}
 		c.change(&digest)
@@ -54,3 +56,46 @@
 		}
 	}
 }
+
+// TestAgeOfAppliedList guards against a list that counts as read in the future, after which a
+// balancer neither reads nor fetches: another directory has the list in force, but has not
+// recorded when it was read, or states an age out of bounds.
+func TestAgeOfAppliedList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	passing, passed := make(chan struct{}), make(chan struct{})
+	newDirectory := func(changed func(*catalog.Catalog, []Expired)) *Directory {
+		return NewDirectory(Config{
+			Self: netip.MustParseAddrPort("127.0.0.1:1"), PeerPort: 1, Bounds: bounds.Default(), Clock: clock,
+			Changed: changed, Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
+		})
+	}
+	d := newDirectory(func(*catalog.Catalog, []Expired) {
+		passing <- struct{}{}
+		<-passed
+	})
+	list := catalog.NewServers(position.Position{Epoch: 1, Revision: 7}, nil)
+	go d.applyServers(list, 0, "platform")
+	<-passing
+	if at := d.ReadAt(); !at.IsZero() {
+		t.Errorf("the list counts as read at %v before it has reached the data plane", at)
+	}
+	r, err := d.serveCatalog(context.Background(), nil, catalogParams{})
+	if err != nil || r.Servers == nil || r.AgeMillis != 0 {
+		t.Errorf("a list that was just read is served as %d ms old, error %v", r.AgeMillis, err)
+	}
+	close(passed)
+
+	for _, age := range []int64{-1, -1 << 62, 9_223_372_036_854, 1<<63 - 1} {
+		d := newDirectory(func(*catalog.Catalog, []Expired) {})
+		requestedAt := clock.Now()
+		clock.Advance(time.Millisecond)
+		d.applyResult(catalogResult{Servers: &list, AgeMillis: age}, d.Catalog(), requestedAt, "other")
+		d.addExpired([]expiredEntry{{Server: catalog.Server{ID: "a", Service: "pass", Zone: "a", State: catalog.Ready, Slots: 1, Address: netip.MustParseAddr("10.0.0.1")}, MissingMillis: age}})
+		if at := d.ReadAt(); at.After(requestedAt) || at.IsZero() {
+			t.Errorf("stated age %d ms: read at %v, requested at %v", age, at, requestedAt)
+		}
+		if since := d.expired["a"].Since; since.After(clock.Now()) || since.IsZero() {
+			t.Errorf("stated age %d ms: missing since %v, now %v", age, since, clock.Now())
+		}
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,12 +81,15 @@
 
 	mu sync.Mutex
 	// firstReadAt and readAt are the times at which the first catalog and the one in
-	// force were read from the platform, by this balancer or another one. Changed has returned
-	// for every list of servers read until readAt.
+	// force were read from the platform, by this balancer or another one. They are not zero if
+	// the catalog has servers, and never later than now.
 	firstReadAt, readAt time.Time
-	// sum is the hash of the servers in the catalog, passedSum that of the servers that were
-	// last passed to Changed.
-	sum, passedSum uint64
+	// sum is the hash of the servers in the catalog.
+	sum uint64
+	// passedSum is the hash of the servers that were last passed to Changed, and passedAt the
+	// latest time at which they were read.
+	passedSum uint64
+	passedAt  time.Time
 	// history holds former catalogs that other directories may still have.
 	history history
 	// members holds the other balancers; the zero member for those that only the digests or
@@ -226,6 +229,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.passedSum = sum
+	d.recordPassed()
+}
+
+// recordPassed updates the time of the latest reading that was passed to Changed. The caller
+// holds the lock.
+func (d *Directory) recordPassed() {
+	if d.sum == d.passedSum {
+		d.passedAt = d.readAt
+	}
 }
 
 // Corroborated reports whether the list holds every server that may run: either a
@@ -251,12 +263,12 @@
 	return d.seedsTried && !d.peerCorroborated
 }
 
-// ReadAt returns when the catalog in force was read from the platform, by this balancer
-// or another one; zero if it never was.
+// ReadAt returns when the servers that were last passed to Changed were read from the platform, by
+// this balancer or another one; zero if they never were.
 func (d *Directory) ReadAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.readAt
+	return d.passedAt
 }
 
 // applyServers replaces the servers in force unless s is from an earlier position. age is the
@@ -284,6 +296,10 @@
 	d.updateExpired(before.Servers.List, s.List)
 	d.sum = sum
 	d.history.addServers(next.Servers, sum)
+	d.advanceReading(at)
+	if d.firstReadAt.IsZero() {
+		d.firstReadAt = d.readAt
+	}
 	d.mu.Unlock()
 	if former := before.Servers.Position; former.Epoch > 0 && s.Epoch > former.Epoch {
 		d.config.Log.Warn("platformRestored").Uint64("epoch", s.Epoch).Uint64("revision", s.Revision).
@@ -294,17 +310,6 @@
 			Int("servers", len(s.List)).Str("source", from).Dur("age", age).Send()
 	}
 	d.changed()
-	d.recordReading(at)
-}
-
-// recordReading records that the servers in force were read at the given time.
-func (d *Directory) recordReading(at time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.advanceReading(at)
-	if d.firstReadAt.IsZero() {
-		d.firstReadAt = d.readAt
-	}
 }
 
 // advanceReading sets the time of the latest reading unless it is earlier than the present one.
@@ -316,6 +321,7 @@
 	}
 	overdue := !d.readAt.IsZero() && at.Sub(d.readAt) > d.pace(readInterval+rankStep)
 	d.readAt = at
+	d.recordPassed()
 	if overdue && !d.config.Replica {
 		go d.sendDigests()
 	}
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -245,7 +245,7 @@
 		list, faults := usable(r.Servers.List)
 		d.recordIgnored(faults, "balancer")
 		r.Servers.List = list
-		age := time.Duration(r.AgeMillis)*time.Millisecond + d.config.Clock.Since(requestedAt)
+		age := fromMillis(r.AgeMillis) + d.config.Clock.Since(requestedAt)
 		d.applyServers(*r.Servers, age, from)
 	}
 }
@@ -263,13 +263,22 @@
 			continue
 		}
 		if !lo.ContainsBy(listed, func(v catalog.Server) bool { return v.ID == e.Server.ID }) {
-			d.expired[e.Server.ID] = Expired{Server: e.Server, Since: now.Add(-time.Duration(e.MissingMillis) * time.Millisecond)}
+			d.expired[e.Server.ID] = Expired{Server: e.Server, Since: now.Add(-fromMillis(e.MissingMillis))}
 		}
 	}
 	d.mu.Unlock()
 	d.changed()
 }
 
+// maxAge is the longest age that another directory may state.
+const maxAge = 24 * time.Hour
+
+// fromMillis returns the age that another directory has stated, within its bounds: what it read
+// cannot be younger than now.
+func fromMillis(millis int64) time.Duration {
+	return time.Duration(lo.Clamp(millis, 0, maxAge.Milliseconds())) * time.Millisecond
+}
+
 // serveCatalog returns what a calling directory lacks.
 func (d *Directory) serveCatalog(_ context.Context, _ *rpc.Conn, p catalogParams) (catalogResult, error) {
 	now := d.config.Clock.Now()
