Tell the end of a search along unsure agents from that of another search

Cause, found by reading: the notice that ends a path along the agents which answered unknown was told by its attempt, which the path shared with the search before it. A late notice of that one counted as the end of the path, and the flow as denied by agents that its packet had not reached yet.

Change: these paths have attempts of their own, above 250, five in turn.

--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -63,9 +63,11 @@
 	// searching is true from the query until the search has ended or timed out.
 	searching bool
 	// remaining holds the agents that answered Unknown and that the packet has still to visit;
-	// onUnknownPath is true while the packet visits them.
-	remaining     []netip.AddrPort
-	onUnknownPath bool
+	// unknownPath is the attempt of the path along them while the packet is on it, else 0.
+	remaining   []netip.AddrPort
+	unknownPath uint8
+	// unknownPaths counts these paths.
+	unknownPaths uint8
 }
 
 // queryTarget states when a query was sent, and to which agents.
@@ -124,7 +126,7 @@
 		openSince: now, receivedAt: now, searchedAt: now,
 	}
 	if f != nil {
-		next.openSince, next.denied, next.doubt = f.openSince, f.denied, f.doubt
+		next.openSince, next.denied, next.doubt, next.unknownPaths = f.openSince, f.denied, f.doubt, f.unknownPaths
 	}
 	b.queries.byFlow[flow] = next
 }
@@ -303,8 +305,11 @@
 		e.Append(c)
 	}
 	e.More = len(f.remaining) > 0
-	f.searching, f.onUnknownPath = e.Count > 0, e.Count > 0
-	if e.Count == 0 {
+	f.searching = e.Count > 0
+	if f.searching {
+		e.Attempt = f.beginUnknownPath()
+	} else {
+		f.unknownPath = 0
 		f.recordDenied()
 	}
 	b.mu.Unlock()
@@ -319,6 +324,17 @@
 	b.send(&e, f.buffer())
 }
 
+// beginUnknownPath returns the attempt of a page of a path along the agents that answered Unknown.
+// It differs from those of other searches, whose ends say nothing about these agents, and from
+// those of the former such paths.
+func (f *searchedFlow) beginUnknownPath() uint8 {
+	if f.unknownPath == 0 {
+		f.unknownPaths++
+		f.unknownPath = maxAttempts + 1 + f.unknownPaths%unknownAttempts
+	}
+	return f.unknownPath
+}
+
 // endInconclusive ends a search that the balancer repeated on its own and to which some agents
 // answered Unknown. Their servers receive the packet only when its caller repeats it: a late
 // copy that reaches other servers before its own would count as a misrouted flow.
@@ -376,7 +392,7 @@
 	r := b.newReview(reading, now)
 	for flow, f := range b.queries.byFlow {
 		if f.searching && now.Sub(f.searchedAt) >= answerTimeout+searchTimeout {
-			f.searching, f.onUnknownPath = false, false
+			f.searching, f.unknownPath = false, 0
 		}
 		e := b.evidence(f, r)
 		switch {
--- a/internal/packetbalancer/census_test.go
+++ b/internal/packetbalancer/census_test.go
@@ -25,6 +25,10 @@
 	// their server holds a flow.
 	holder  netip.AddrPort
 	unknown map[netip.AddrPort]bool
+	// loseUnknown drops packets on their way along the agents that answered Unknown, whose list of
+	// agents has the version listVersion.
+	loseUnknown bool
+	listVersion uint16
 	// visited counts the agents that received a packet, queries and bytes the queries that the
 	// balancer sent, resets the resets to callers.
 	visited, queries, bytes, resets int
@@ -73,6 +77,10 @@
 	if !ok {
 		return
 	}
+	if f.loseUnknown && e.Page == unknownPage {
+		f.listVersion = e.ListVersion
+		return
+	}
 	for i := range e.Count {
 		f.visited++
 		if e.Candidates[i].Agent == f.holder {
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -12,6 +12,9 @@
 const (
 	// maxAttempts is the highest count of searches for one flow; it is encoded in one byte.
 	maxAttempts = 250
+	// unknownAttempts is how many attempts above maxAttempts are used in turn for paths along the
+	// agents that answered Unknown.
+	unknownAttempts = 5
 	// notHeldRetention is how long an agent that did not hold a flow is not searched for it
 	// again; callers repeat a packet every 0.2 to 1.6 s.
 	notHeldRetention = 5 * time.Second
@@ -161,9 +164,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := b.queries.byFlow[n.Flow]
-	if f == nil || !f.onUnknownPath || len(f.remaining) > 0 || f.envelope.Attempt != n.Attempt || f.envelope.ListVersion != n.ListVersion {
+	if f == nil || f.unknownPath == 0 || len(f.remaining) > 0 || f.unknownPath != n.Attempt || f.envelope.ListVersion != n.ListVersion {
 		return
 	}
-	f.searching, f.onUnknownPath = false, false
+	f.searching, f.unknownPath = false, 0
 	f.recordDenied()
 }
--- a/internal/packetbalancer/search_test.go
+++ b/internal/packetbalancer/search_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestLateNoticeOfFormerSearch guards against the reset of a flow whose agent has restarted: the
+// packet of the flow is on its way along the agents that cannot tell, and the end of another
+// search must not count as the end of that path.
+func TestLateNoticeOfFormerSearch(t *testing.T) {
+	f, agents := newSearchFleet(4)
+	f.holder = agents[2]
+	f.unknown[f.holder] = true
+	f.loseUnknown = true
+	flow, raw := flowPacket(1, 200)
+	f.balancer.HandleCallerPacket(raw)
+	for n := range 2 * maxAttempts {
+		attempt := uint8(n % maxAttempts)
+		var notFound [steer.NotFoundLen]byte
+		steer.NotFoundNotice{Flow: flow, Searched: true, Attempt: attempt, ListVersion: f.listVersion}.Put(notFound[:])
+		f.balancer.handleNotFound(notFound[:])
+	}
+	for range 3 {
+		f.readList()
+	}
+	if f.listVersion == 0 || f.resets != 0 {
+		t.Errorf("%d resets while the packet is on its way to the agent that holds the flow, want none", f.resets)
+	}
+}
+
 // TestFlowOfOtherService guards against the reset of a flow at a server of a service that its
 // route no longer names: a balancer that has restarted doesn't know the former route.
 func TestFlowOfOtherService(t *testing.T) {
