Narrow a search after a common start only by the start of the servers

Cause: since the history of routes, a balancer asked only the services that it knew if all servers had been warming up when it first read them. A route may have moved while they warmed up: TestScenarios/routeMovedToOtherService failed again (over 20 resets), where the entries state a warmup until they change.

The scenario passes.

--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -34,7 +34,7 @@
 // a flow may last. After a common start the servers are too young to hold flows of unknown routes.
 // The caller holds the lock.
 func (b *Balancer) allServices(now time.Time) bool {
-	return !b.routes.Complete(now) && !b.selection.AllRecentlyStarted()
+	return !b.routes.Complete(now) && !b.selection.AllStartedTogether()
 }
 
 // review holds what is the same for all flows that are judged at one time.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -88,6 +88,8 @@
 	// recentlyStarted is true if the server had recently started when it was first
 	// listed: it was still warming up, or has started together with this balancer.
 	recentlyStarted bool
+	// startedTogether is true if the server has started together with this balancer, or later.
+	startedTogether bool
 	// wasSuspect is whether the agent was suspect at the latest call of NotifyChanges.
 	wasSuspect bool
 	// monitored is true if the agent is pinged even while it is not used.
@@ -268,7 +270,8 @@
 func (s *Selection) setListed(at place, v catalog.Server, now time.Time) {
 	a := s.agents[at]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), recentlyStarted: s.justStarted(v)}
+		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), startedTogether: s.startedTogether(v)}
+		a.recentlyStarted = v.Warmup > 0 || a.startedTogether
 		s.agents[at], s.tracked[at] = a, a
 		a.Server = v
 		s.recordChange(a)
@@ -285,10 +288,9 @@
 	}
 }
 
-// justStarted reports whether a server that is listed for the first time is still
-// warming up, or has started together with this balancer or later.
-func (s *Selection) justStarted(v catalog.Server) bool {
-	return v.Warmup > 0 || v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
+// startedTogether reports whether a server has started together with this balancer or later.
+func (s *Selection) startedTogether(v catalog.Server) bool {
+	return v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
 }
 
 // index rebuilds the indexes of agents by service and by address.
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -127,6 +127,12 @@
 	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.recentlyStarted || s.foreign(a) })
 }
 
+// AllStartedTogether reports whether every listed server has started together with this balancer,
+// or later.
+func (s *Selection) AllStartedTogether() bool {
+	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.startedTogether || s.foreign(a) })
+}
+
 // fansOut reports whether an attempt addresses every agent directly instead of sending one
 // packet from agent to agent: with a copy to each, or a query if there are many. On links
 // that lose packets, two searches along many agents may both fail, and the flow breaks if
