--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -155,7 +155,7 @@
 func (d *Directory) confirms(f steer.Freshness) bool {
 	c := d.catalog.Load()
 	return f.Revision > 0 && f.Sum == d.sum && d.sum == d.passedSum &&
-		f.RoutesVersion <= c.Routes.Version && !f.Position.Before(c.Servers.Position)
+		f.RoutesVersion <= c.Routes.Version && !f.Before(c.Servers.Position)
 }
 
 // lacksServers reports whether the sender of a digest has a newer list of servers than this
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -137,3 +137,48 @@
 		Time("openSince", e.OpenSince).Time("listReadAt", e.ListReadAt).Time("deniedAt", f.denied.at).Send()
 	b.reset(f.flow, f.packet.AckSeq)
 }
+
+// reviewSearches judges the flows that are searched by the present evidence, and repeats the
+// search for those about which a further one can prove something.
+func (b *Balancer) reviewSearches(now time.Time) {
+	reading := b.reading()
+	var due []packet.Flow
+	proved := make(map[*searchedFlow]absence.Evidence)
+	b.mu.Lock()
+	r := b.newReview(reading, now)
+	for flow, f := range b.queries.byFlow {
+		if f.searching && now.Sub(f.searchedAt) >= answerTimeout+searchTimeout {
+			f.searching, f.unknownPath = false, 0
+		}
+		e := b.evidence(f, r)
+		switch {
+		case now.Sub(f.receivedAt) >= searchRetention:
+			delete(b.queries.byFlow, flow)
+		case f.searching:
+		case b.judge(f, e):
+			proved[f] = e
+		case f.dueForRetry(e, now):
+			f.retries++
+			due = append(due, flow)
+		}
+	}
+	b.mu.Unlock()
+	for f, e := range proved {
+		b.resetNotHeld(f, e)
+	}
+	for _, f := range due {
+		if entry, _ := b.cache.Get(f); !entry.agent.IsValid() {
+			b.queryFlow(f)
+		}
+	}
+}
+
+// dueForRetry reports whether the balancer repeats the search for a flow on its own: the former
+// one was interrupted or some agents have changed since, and a further one can prove something.
+func (f *searchedFlow) dueForRetry(e absence.Evidence, now time.Time) bool {
+	if e.AllDenied || f.retries >= maxRetries || now.Sub(f.searchedAt) < retryInterval {
+		return false
+	}
+	e.AllDenied = true
+	return e.Doubt() == absence.None || e.Doubt() == absence.StaleList
+}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -4,7 +4,6 @@
 package selection
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -147,16 +146,6 @@
 	lastCutOffAt time.Time
 }
 
-// place is an address with the service of a server that is listed there.
-type place struct {
-	address netip.AddrPort
-	service string
-}
-
-func (a *Agent) place() place {
-	return place{a.Address, a.Server.Service}
-}
-
 // scored is an agent with the score by which a list is sorted.
 type scored struct {
 	agent *Agent
@@ -185,128 +174,6 @@
 	}
 }
 
-// NameServices adds services to those that routes have named. Flows may stay at servers of a
-// service that no route names any longer.
-func (s *Selection) NameServices(names []string) {
-	for _, name := range names {
-		s.named[name] = true
-	}
-}
-
-// foreign reports whether there seems to be no agent beside the server of an entry, which another
-// writer has listed: no route has ever named its service, and nothing has answered at its address.
-func (s *Selection) foreign(a *Agent) bool {
-	return len(s.named) > 0 && !s.named[a.Server.Service] && a.LastReportAt.IsZero()
-}
-
-// Update applies a new reading of the list of servers. Agents whose server is no longer
-// listed are removed after the retention period.
-func (s *Selection) Update(servers catalog.Servers, now time.Time) {
-	if s.epoch > 0 && servers.Epoch > s.epoch {
-		s.interruptedUntil = now.Add(removedAfter)
-	}
-	s.epoch = servers.Epoch
-	listed := s.newestByPlace(servers)
-	maps.DeleteFunc(listed, s.former)
-	for at, v := range listed {
-		s.setListed(at, v, now)
-	}
-	for at, a := range s.agents {
-		if _, ok := listed[at]; ok {
-			continue
-		}
-		if a.UnlistedSince.IsZero() {
-			a.UnlistedSince = now
-		}
-		if now.Sub(a.UnlistedSince) > s.retain {
-			delete(s.agents, at)
-			delete(s.tracked, at)
-			s.recordChange(a)
-		}
-	}
-	s.index()
-}
-
-// Expire adds a server whose entry in the list expired at the given time, unless an agent
-// at its place is stored already, of a server that started later or after that entry has had
-// time to return. This balancer may never have read the entry.
-func (s *Selection) Expire(v catalog.Server, since time.Time) {
-	at := s.placeOf(v)
-	if a := s.agents[at]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
-		return
-	}
-	s.setListed(at, v, since)
-	s.agents[at].UnlistedSince = since
-	s.index()
-}
-
-// newestByPlace returns the latest started server of each service for each address of an agent.
-// A server that restarted under another ID is listed twice until its former entry expires.
-func (s *Selection) newestByPlace(servers catalog.Servers) map[place]catalog.Server {
-	listed := make(map[place]catalog.Server, len(servers.List))
-	for _, v := range servers.List {
-		at := s.placeOf(v)
-		if other, ok := listed[at]; !ok || v.Born > other.Born {
-			listed[at] = v
-		}
-	}
-	return listed
-}
-
-func (s *Selection) placeOf(v catalog.Server) place {
-	return place{netip.AddrPortFrom(v.Address, s.port), v.Service}
-}
-
-// former reports whether a listed server is a former one at its place: a server that started
-// later was listed there a moment ago. The platform lists it again after a return from a
-// backup, until its entry expires; that of the present one returns sooner.
-func (s *Selection) former(at place, v catalog.Server) bool {
-	a := s.agents[at]
-	return a != nil && v.Born < a.Server.Born && s.unlistedFor(a) < removedAfter
-}
-
-// setListed stores the entry of a listed server. A server that has restarted, or has
-// replaced another at its place, gets a new agent without reports.
-func (s *Selection) setListed(at place, v catalog.Server, now time.Time) {
-	a := s.agents[at]
-	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), startedTogether: s.startedTogether(v)}
-		a.recentlyStarted = v.Warmup > 0 || a.startedTogether
-		s.agents[at], s.tracked[at] = a, a
-		a.Server = v
-		s.recordChange(a)
-	}
-	a.Server, a.UnlistedSince = v, time.Time{}
-	a.warmUntil = now.Add(v.Warmup)
-}
-
-// recordChange records that an agent was added, replaced or removed. Foreign entries, which may
-// change at any rate, do not count.
-func (s *Selection) recordChange(a *Agent) {
-	if !s.foreign(a) {
-		s.listVersion++
-	}
-}
-
-// startedTogether reports whether a server has started together with this balancer or later.
-func (s *Selection) startedTogether(v catalog.Server) bool {
-	return v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
-}
-
-// index rebuilds the indexes of agents by service and by address.
-func (s *Selection) index() {
-	clear(s.byService)
-	clear(s.byAddress)
-	for _, a := range s.agents {
-		s.byService[a.Server.Service] = append(s.byService[a.Server.Service], a)
-		s.byAddress[a.Address] = append(s.byAddress[a.Address], a)
-	}
-	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *Agent) int { return a.Address.Compare(b.Address) })
-	}
-	s.selectMonitored()
-}
-
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
 	for _, a := range s.byAddress[address] {
