--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -10,7 +10,7 @@
 	Placed atomic.Uint64
 	// Searches counts packets of unknown flows sent along a search path.
 	Searches atomic.Uint64
-	// Queried counts flows about which all agents were queried.
+	// Queried counts flows about which the agents that may hold them were queried.
 	Queried atomic.Uint64
 	// Returned counts packets that an agent without the flow returned.
 	Returned atomic.Uint64
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -34,7 +34,7 @@
 }
 
 // searchLikely sends a packet of an unknown flow along the agents that probably hold it; if none
-// does, all agents are queried afterwards. entry is the result of earlier searches. It returns
+// does, all that may hold it are queried afterwards. entry is the result of earlier searches. It returns
 // false if no agent is left to be searched.
 func (b *Balancer) searchLikely(buf []byte, flow packet.Flow, route *catalog.Route, entry cacheEntry) bool {
 	now := b.config.Clock.Now()
@@ -130,8 +130,8 @@
 	b.send(&e, buf)
 }
 
-// handleNotFound records that no agent of a search path holds a flow, and queries all agents
-// unless they have denied the flow already.
+// handleNotFound records that no agent of a search path holds a flow, and queries those that may
+// hold it unless they have denied it already.
 func (b *Balancer) handleNotFound(raw []byte) {
 	n, ok := steer.ParseNotFound(raw)
 	if !ok {
