Let pings state what balancers know of a server

An agent learns neither that its zone is evacuated, nor when its server started, nor how many new flows a cold server bears. Pings now carry these, ordered by the position of the store and by the start of the server; reports can state that the agent's table is complete. Settings for the bounds of evacuations and cold servers. Nothing uses them yet. Both datagrams grew at their end, so older programs read them as before; unit tests of steer, packetagent, packetbalancer, selection and packetsettings pass.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,9 @@
 	// Services are the services that the operator has defined, whether or not a route leads to
 	// them; older programs omit them.
 	Services []string `json:"services,omitempty"`
+	// ColdFlowsPerSecond is how many new flows a second a cold server bears, by service; a service
+	// without an entry has no limit.
+	ColdFlowsPerSecond map[string]float64 `json:"coldFlowsPerSecond,omitempty"`
 }
 
 // ServiceNames returns the services that the operator has defined or that a route leads to.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -41,6 +41,9 @@
 	defer a.mu.Unlock()
 	if kind == steer.Ping {
 		a.subscribers[from] = now
+		if n, ok := steer.ParsePing(raw); ok {
+			a.recordNotice(n, now)
+		}
 		a.sendReport(from, packet.Flow{}, now)
 		return
 	}
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -118,6 +118,8 @@
 	rate         rateMeter
 	failures     failureMeter
 	leaving      bool
+	// noticed is what balancers have stated about the server.
+	noticed noticed
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
@@ -239,8 +240,6 @@
 // PingAgents sends a ping to each agent whose report is due, updates which agents count as
 // lost, and maintains the searches.
 func (b *Balancer) PingAgents() {
-	var ping [steer.PingLen]byte
-	steer.PutPing(ping[:])
 	now := b.config.Clock.Now()
 	b.mu.Lock()
 	b.selection.RecordRead(b.config.ReadAt())
@@ -249,17 +248,35 @@
 	b.updateCutOff(now)
 	b.usedAgents.take(func(a netip.AddrPort) { b.selection.RecordUse(a, now) })
 	due := b.selection.DueForPing(now)
+	notices := lo.Map(due, func(a netip.AddrPort, _ int) steer.Notice { return b.notice(a, now) })
 	for _, a := range due {
 		b.selection.RecordPing(a, now)
 	}
 	b.mu.Unlock()
 	b.lostAgents.Store(&lostAgents)
-	for _, a := range due {
+	for i, a := range due {
+		var ping [steer.PingLen]byte
+		steer.PutPing(ping[:], notices[i])
 		b.Send(ping[:], a)
 	}
 	b.maintainSearches(now)
 }
 
+// notice returns what a ping tells an agent about its server. The caller holds the lock.
+func (b *Balancer) notice(address netip.AddrPort, now time.Time) steer.Notice {
+	a := b.selection.Agent(address)
+	if a.Server.ID == "" {
+		return steer.Notice{}
+	}
+	c := b.config.Catalog()
+	return steer.Notice{
+		ServerKnown:        a.Server.Born > 0 && a.UnlistedSince.IsZero(),
+		Born:               a.Server.Born,
+		Warmup:             max(a.WarmUntil.Sub(now), 0),
+		ColdFlowsPerSecond: c.Routes.ColdFlowsPerSecond[a.Server.Service],
+	}
+}
+
 // updateCutOff updates whether the balancer counts as cut off from most agents. The caller
 // holds the lock.
 func (b *Balancer) updateCutOff(now time.Time) {
--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -32,12 +32,15 @@
 	ContactMillis float64 `json:"contactMillis,omitempty"`
 	// DrainMillis is the time within which a draining server stops receiving new flows, and
 	// ApplyMillis the time within which new routes are in force, in milliseconds. The
-	// shorter one that is set applies to both; 0 for both selects 3,000.
+	// shortest one of these and EvacuateMillis that is set applies to all; 0 for all selects 3,000.
 	DrainMillis float64 `json:"drainMillis,omitempty"`
 	ApplyMillis float64 `json:"applyMillis,omitempty"`
 	// AddressReuseSeconds is the shortest time, in seconds, after which the address of a
 	// removed server may belong to another service; 0 selects 2.
 	AddressReuseSeconds float64 `json:"addressReuseSeconds,omitempty"`
+	// EvacuateMillis is the time within which the servers of an evacuated availability zone stop
+	// receiving new flows, in milliseconds; 0 if the deployment evacuates no zones.
+	EvacuateMillis float64 `json:"evacuateMillis,omitempty"`
 	// LogLevel is debug, info, warn or error; empty selects info.
 	LogLevel string `json:"logLevel,omitempty"`
 }
@@ -58,7 +61,7 @@
 	if c.ContactMillis > 0 {
 		b.Contact = millis(c.ContactMillis)
 	}
-	if change := lo.Compact([]float64{c.DrainMillis, c.ApplyMillis}); len(change) > 0 {
+	if change := lo.Compact([]float64{c.DrainMillis, c.ApplyMillis, c.EvacuateMillis}); len(change) > 0 {
 		b.Change = millis(lo.Min(change))
 	}
 	if c.AddressReuseSeconds > 0 {
@@ -98,6 +101,10 @@
 	// RequestIDHeader names the header field with the ID of a request, for logs;
 	// empty if there is none.
 	RequestIDHeader string `json:"requestIdHeader,omitempty"`
+	// WarmupOverage and WarmupSlack bound the new flows that a cold server receives in any second:
+	// its stated rate times WarmupOverage, plus WarmupSlack. 0 for WarmupOverage selects 1.
+	WarmupOverage float64 `json:"warmupOverage,omitempty"`
+	WarmupSlack   float64 `json:"warmupSlack,omitempty"`
 	// Callers is any address with the port at which callers receive packets.
 	Callers netip.AddrPort `json:"callers"`
 	// Seeds are peer addresses of balancers, of which only the port is used. With seeds the
@@ -152,6 +159,8 @@
 	c.Address(s.Outbound, "outbound")
 	c.Address(s.Server, "server")
 	c.Address(s.Callers, "callers")
+	c.Require(s.WarmupOverage == 0 || s.WarmupOverage >= 1, "warmupOverage", "%v, want at least 1", s.WarmupOverage)
+	c.Require(s.WarmupSlack >= 0, "warmupSlack", "%v, want at least 0", s.WarmupSlack)
 }
 
 // checkBounds reports bounds that are too short for the programs to keep, and bounds that
@@ -164,6 +173,7 @@
 	requireAtLeast(s.ContactMillis, time.Millisecond, bounds.MinContact, "contactMillis")
 	requireAtLeast(s.DrainMillis, time.Millisecond, bounds.MinChange, "drainMillis")
 	requireAtLeast(s.ApplyMillis, time.Millisecond, bounds.MinChange, "applyMillis")
+	requireAtLeast(s.EvacuateMillis, time.Millisecond, bounds.MinChange, "evacuateMillis")
 	requireAtLeast(s.AddressReuseSeconds, time.Second, bounds.MinAddressReuse, "addressReuseSeconds")
 	lost := s.Bounds().LostTimeout()
 	c.Require(s.MaxFlowSeconds <= 0 || s.MaxFlow() > lost, "maxFlowSeconds",
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -88,7 +88,7 @@
 	if serviceTime == 0 {
 		serviceTime = defaultServiceTime
 	}
-	if now.Before(a.warmUntil) {
+	if now.Before(a.WarmUntil) {
 		return serviceTime.Seconds() * warmupFactor
 	}
 	return serviceTime.Seconds()
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -97,7 +97,7 @@
 		s.recordChange(a)
 	}
 	a.Server, a.UnlistedSince = v, time.Time{}
-	a.warmUntil = now.Add(v.Warmup)
+	a.WarmUntil = now.Add(v.Warmup)
 }
 
 // recordChange records that an agent was added, replaced or removed. Foreign entries, which may
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -79,11 +79,13 @@
 	// LastSearchedAt is when the agent was last among those that were searched for the holder
 	// of a flow; zero if never.
 	LastSearchedAt time.Time
+	// WarmUntil is when the server stops being cold; a server that has never been has a time in the
+	// past.
+	WarmUntil time.Time
 	// UnlistedSince is when the server was first missing from the list; zero if it is listed.
 	UnlistedSince time.Time
 
-	hash      uint64
-	warmUntil time.Time
+	hash uint64
 	// recentlyStarted is true if the server had recently started when it was first
 	// listed: it was still warming up, or has started together with this balancer.
 	recentlyStarted bool
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -38,6 +38,9 @@
 	ServiceTime time.Duration
 	// Service is the numeric identifier of the server's service; 0 if unknown.
 	Service uint32
+	// TableComplete is true if the agent's table holds every open flow of the server. Reports of
+	// older programs do not state it.
+	TableComplete bool
 }
 
 // minReportLen is the length of the reports of programs that do not state the service, in bytes.
@@ -52,10 +55,14 @@
 	reportRateOffset        = reportFlowsOffset + 2
 	reportTimeOffset        = reportRateOffset + 4
 	reportServiceOffset     = reportTimeOffset + 4
+	reportFlagsOffset       = reportServiceOffset + 4
 )
 
 // ReportLen is the length of a report, in bytes.
-const ReportLen = reportServiceOffset + 4
+const ReportLen = reportFlagsOffset + 1
+
+// tableCompleteFlag is the flag of a report that states Load.TableComplete.
+const tableCompleteFlag = 1
 
 // PutReport writes a report into b, which holds at least ReportLen bytes. A zero flow
 // means that the report carries the load only.
@@ -70,6 +77,7 @@
 	binary.BigEndian.PutUint32(b[reportRateOffset:], uint32(l.RequestsPerSecond*rateUnit))
 	binary.BigEndian.PutUint32(b[reportTimeOffset:], uint32(l.ServiceTime.Microseconds()))
 	binary.BigEndian.PutUint32(b[reportServiceOffset:], l.Service)
+	b[reportFlagsOffset] = flag(l.TableComplete, tableCompleteFlag)
 }
 
 // failuresUnit is the encoded value of a share of 1.
@@ -88,11 +96,12 @@
 		return Load{}, packet.Flow{}, false
 	}
 	var service uint32
-	if len(b) >= ReportLen {
+	if len(b) >= reportFlagsOffset {
 		service = binary.BigEndian.Uint32(b[reportServiceOffset:])
 	}
 	return Load{
 		Service:           service,
+		TableComplete:     len(b) >= ReportLen && b[reportFlagsOffset]&tableCompleteFlag != 0,
 		State:             State(b[reportStateOffset]),
 		Failures:          float32(b[reportFailuresOffset]) / failuresUnit,
 		Outstanding:       binary.BigEndian.Uint16(b[reportOutstandingOffset:]),
@@ -101,11 +110,3 @@
 		ServiceTime:       time.Duration(binary.BigEndian.Uint32(b[reportTimeOffset:])) * time.Microsecond,
 	}, packet.ParseFlow(b[reportFlowOffset:]), true
 }
-
-// PingLen is the length of a ping, in bytes.
-const PingLen = 2
-
-// PutPing writes a ping into b, which holds at least PingLen bytes.
-func PutPing(b []byte) {
-	b[0], b[kindOffset] = magic, byte(Ping)
-}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -69,10 +69,15 @@
 			Service:           rapid.Uint32().Draw(t, "service"),
 		}
 		var b [ReportLen]byte
+		l.TableComplete = rapid.Bool().Draw(t, "tableComplete")
 		PutReport(b[:], l, f)
 		if gotLoad, gotFlow, ok := ParseReport(b[:]); !ok || gotLoad != l || gotFlow != f {
 			t.Fatalf("report %t %+v %v, want %+v %v", ok, gotLoad, gotFlow, l, f)
 		}
+		l.TableComplete = false
+		if gotLoad, _, ok := ParseReport(b[:reportFlagsOffset]); !ok || gotLoad != l {
+			t.Fatalf("report without flags %t %+v, want %+v", ok, gotLoad, l)
+		}
 		l.Service = 0
 		if gotLoad, _, ok := ParseReport(b[:minReportLen]); !ok || gotLoad != l {
 			t.Fatalf("report without a service %t %+v, want %+v", ok, gotLoad, l)
@@ -103,6 +108,31 @@
 	})
 }
 
+// TestPingRoundTrip checks that a ping decodes to the notice that was encoded, and that one of an
+// older program, which is shorter, states nothing.
+func TestPingRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var n Notice
+		if rapid.Bool().Draw(t, "evacuationsKnown") {
+			n.EvacuationsKnown, n.Evacuated = true, rapid.Bool().Draw(t, "evacuated")
+			n.EvacuationsAt = position.Position{Epoch: rapid.Uint64().Draw(t, "epoch"), Revision: rapid.Uint64().Draw(t, "revision")}
+		}
+		if rapid.Bool().Draw(t, "serverKnown") {
+			n.ServerKnown, n.Born = true, rapid.Int64Min(0).Draw(t, "born")
+			n.Warmup = time.Duration(rapid.Uint32().Draw(t, "warmup")) * time.Millisecond
+			n.ColdFlowsPerSecond = float64(rapid.IntRange(0, 1<<20).Draw(t, "coldFlows"))
+		}
+		var b [PingLen]byte
+		PutPing(b[:], n)
+		if got, ok := ParsePing(b[:]); !ok || got != n {
+			t.Fatalf("ping %t %+v, want %+v", ok, got, n)
+		}
+		if got, ok := ParsePing(b[:minPingLen]); !ok || got != (Notice{}) {
+			t.Fatalf("ping of an older program %t %+v", ok, got)
+		}
+	})
+}
+
 // TestQueryRoundTrip checks that queries and answers decode to what was encoded, and that
 // truncated ones are rejected.
 func TestQueryRoundTrip(t *testing.T) {
@@ -142,6 +172,7 @@
 			_ = e.Self()
 		}
 		_, _, _ = ParseReport(raw)
+		_, _ = ParsePing(raw)
 		_, _ = ParseNotFound(raw)
 		_, _, _ = ParseDigest(raw)
 		_, _, _ = ParseQuery(raw)
