State in the last report of an agent that its server has stopped

On a VM that is removed the server stops first, then the agent. Balancers that searched a flow then waited for the silent agent until its entry had expired or the contact bound had passed. The agent now probes its server when it stops and names the stopped one in its report; a server that starts later at the address is not meant by it.

--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -38,7 +38,7 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unansweredSince = time.Time{}
+	a.unansweredSince, a.stoppedServer = time.Time{}, 0
 	a.logSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -120,6 +120,9 @@
 	leaving      bool
 	// noticed is what balancers have stated about the server.
 	noticed noticed
+	// stoppedServer is the start of the server that was listed here when none ran, as in
+	// noticed.born; 0 if there was none, or if the server has sent packets since.
+	stoppedServer int64
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -250,6 +253,16 @@
 	a.startedBeforeServer = true
 }
 
+// RecordServerStopped records that no server runs now, and reports that to the balancers: the
+// server that they have listed here holds no flow any more.
+func (a *Agent) RecordServerStopped() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stoppedServer = a.noticed.born
+	now := a.config.Clock.Now()
+	a.reportToSubscribers(a.load(now), now)
+}
+
 // tableComplete reports whether the table holds every open flow of the server: the server
 // has started after the agent, or the agent has run for longer than MaxFlow.
 func (a *Agent) tableComplete(now time.Time) bool {
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -40,3 +40,18 @@
 		}
 	}
 }
+
+// TestStoppedServer guards against a report that still names a stopped server although one runs
+// again: balancers would no longer wait for its answer about their flows.
+func TestStoppedServer(t *testing.T) {
+	a := newBenchAgent()
+	a.recordNotice(steer.Notice{ServerKnown: true, Born: 1_800_000_000_123}, a.config.Clock.Now())
+	a.RecordServerStopped()
+	if got, want := a.Load().StoppedServer, uint32(1_800_000_000_123&0xffffffff); got != want {
+		t.Errorf("stopped server %d, want %d", got, want)
+	}
+	a.open(1)
+	if got := a.Load().StoppedServer; got != 0 {
+		t.Errorf("stopped server %d after a packet of it, want none", got)
+	}
+}
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -87,19 +87,32 @@
 	}
 }
 
-// probeServer detects whether the server runs already. Only a refused connection shows that
-// it does not; if the probe gets no answer, the agent assumes that the server runs.
-func (a *agent) probeServer(ctx context.Context) {
+// probeStart detects whether the server runs already when the agent starts.
+func (a *agent) probeStart(ctx context.Context) {
+	if a.serverDown(ctx) {
+		a.dataPlane.RecordServerDown()
+	}
+}
+
+// probeStop detects whether the server has stopped before the agent does, as on a VM that is
+// removed. Balancers need not wait then for the expiry of its entry to know that it holds no flow.
+func (a *agent) probeStop(ctx context.Context) {
+	if a.serverDown(ctx) {
+		a.dataPlane.RecordServerStopped()
+	}
+}
+
+// serverDown reports whether no server runs. Only a refused connection shows that; if the probe
+// gets no answer, the server may run.
+func (a *agent) serverDown(ctx context.Context) bool {
 	dialer := net.Dialer{Timeout: probeTimeout}
 	c, err := dialer.DialContext(ctx, "tcp4", a.settings.Server.String())
 	if err == nil {
 		_ = c.Close()
 	}
 	down := errors.Is(err, syscall.ECONNREFUSED)
-	if down {
-		a.dataPlane.RecordServerDown()
-	}
 	a.log.Info("serverProbed").Bool("down", down).AnErr("reason", err).Send()
+	return down
 }
 
 // Run forwards packets until the context ends, and then until no request is pending, for at
@@ -114,10 +127,11 @@
 		wg.Go(func() { a.replica.Run(serving) })
 	}
 	wg.Go(func() { serveMetrics(serving, a.metrics, a.settings.Metrics, a.log) })
-	wg.Go(func() { a.probeServer(serving) })
+	wg.Go(func() { a.probeStart(serving) })
 	a.log.Info("agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
 	<-ctx.Done()
 	a.dataPlane.Leave()
+	a.probeStop(serving)
 	a.log.Info("leaveStarted").Int("requests", a.dataPlane.PendingRequests()).Send()
 	started := a.clock.Now()
 	for a.dataPlane.PendingRequests() > 0 && a.clock.Since(started) < agentLeaveTimeout {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -193,6 +193,9 @@
 	if d.MaybeScanArgs(t, "service", &name); name != "" {
 		l.Service = catalog.ServiceID(name)
 	}
+	stopped := 0
+	d.MaybeScanArgs(t, "stopped", &stopped)
+	l.StoppedServer = uint32(stopped)
 	if d.HasArg("silent") {
 		l.State = steer.Silent
 	}
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -64,7 +64,7 @@
 // silentMayHold reports whether an agent does not answer although its server may live and
 // hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
-	return a.suspect(now) && !s.foreign(a) && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
+	return a.suspect(now) && !s.foreign(a) && !a.serverStopped() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
 
 // silentPastLimit reports whether an agent has not answered for so long that its server
@@ -74,6 +74,12 @@
 	return now.Sub(a.UnansweredSince) > limit && now.Sub(s.lastCutOffAt) > limit
 }
 
+// serverStopped reports whether the agent has stated that the listed server has stopped. Its
+// statement does not apply to a server that started later at the address.
+func (a *Agent) serverStopped() bool {
+	return a.Load.StoppedServer != 0 && a.Load.StoppedServer == uint32(a.Server.Born)
+}
+
 // leftAfterDraining reports whether the server of an agent has stopped as planned: it was
 // draining when it was last listed, and is no longer listed.
 func (a *Agent) leftAfterDraining() bool {
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -41,6 +41,10 @@
 	// TableComplete is true if the agent's table holds every open flow of the server. Reports of
 	// older programs do not state it.
 	TableComplete bool
+	// StoppedServer identifies the server beside the agent if that has stopped: the lower 32 bits of
+	// its start as a Unix time in milliseconds. It is 0 if the server runs, or if the agent cannot
+	// tell, as those of older programs.
+	StoppedServer uint32
 }
 
 // minReportLen is the length of the reports of programs that do not state the service, in bytes.
@@ -56,10 +60,11 @@
 	reportTimeOffset        = reportRateOffset + 4
 	reportServiceOffset     = reportTimeOffset + 4
 	reportFlagsOffset       = reportServiceOffset + 4
+	reportStoppedOffset     = reportFlagsOffset + 1
 )
 
 // ReportLen is the length of a report, in bytes.
-const ReportLen = reportFlagsOffset + 1
+const ReportLen = reportStoppedOffset + 4
 
 // tableCompleteFlag is the flag of a report that states Load.TableComplete.
 const tableCompleteFlag = 1
@@ -78,6 +83,7 @@
 	binary.BigEndian.PutUint32(b[reportTimeOffset:], uint32(l.ServiceTime.Microseconds()))
 	binary.BigEndian.PutUint32(b[reportServiceOffset:], l.Service)
 	b[reportFlagsOffset] = flag(l.TableComplete, tableCompleteFlag)
+	binary.BigEndian.PutUint32(b[reportStoppedOffset:], l.StoppedServer)
 }
 
 // failuresUnit is the encoded value of a share of 1.
@@ -95,18 +101,19 @@
 	if b[reportStateOffset] > byte(Silent) {
 		return Load{}, packet.Flow{}, false
 	}
-	var service uint32
+	var l Load
 	if len(b) >= reportFlagsOffset {
-		service = binary.BigEndian.Uint32(b[reportServiceOffset:])
+		l.Service = binary.BigEndian.Uint32(b[reportServiceOffset:])
 	}
-	return Load{
-		Service:           service,
-		TableComplete:     len(b) >= ReportLen && b[reportFlagsOffset]&tableCompleteFlag != 0,
-		State:             State(b[reportStateOffset]),
-		Failures:          float32(b[reportFailuresOffset]) / failuresUnit,
-		Outstanding:       binary.BigEndian.Uint16(b[reportOutstandingOffset:]),
-		Flows:             binary.BigEndian.Uint16(b[reportFlowsOffset:]),
-		RequestsPerSecond: float32(binary.BigEndian.Uint32(b[reportRateOffset:])) / rateUnit,
-		ServiceTime:       time.Duration(binary.BigEndian.Uint32(b[reportTimeOffset:])) * time.Microsecond,
-	}, packet.ParseFlow(b[reportFlowOffset:]), true
+	if len(b) >= ReportLen {
+		l.TableComplete = b[reportFlagsOffset]&tableCompleteFlag != 0
+		l.StoppedServer = binary.BigEndian.Uint32(b[reportStoppedOffset:])
+	}
+	l.State = State(b[reportStateOffset])
+	l.Failures = float32(b[reportFailuresOffset]) / failuresUnit
+	l.Outstanding = binary.BigEndian.Uint16(b[reportOutstandingOffset:])
+	l.Flows = binary.BigEndian.Uint16(b[reportFlowsOffset:])
+	l.RequestsPerSecond = float32(binary.BigEndian.Uint32(b[reportRateOffset:])) / rateUnit
+	l.ServiceTime = time.Duration(binary.BigEndian.Uint32(b[reportTimeOffset:])) * time.Microsecond
+	return l, packet.ParseFlow(b[reportFlowOffset:]), true
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -69,12 +69,12 @@
 			Service:           rapid.Uint32().Draw(t, "service"),
 		}
 		var b [ReportLen]byte
-		l.TableComplete = rapid.Bool().Draw(t, "tableComplete")
+		l.TableComplete, l.StoppedServer = rapid.Bool().Draw(t, "tableComplete"), rapid.Uint32().Draw(t, "stoppedServer")
 		PutReport(b[:], l, f)
 		if gotLoad, gotFlow, ok := ParseReport(b[:]); !ok || gotLoad != l || gotFlow != f {
 			t.Fatalf("report %t %+v %v, want %+v %v", ok, gotLoad, gotFlow, l, f)
 		}
-		l.TableComplete = false
+		l.TableComplete, l.StoppedServer = false, 0
 		if gotLoad, _, ok := ParseReport(b[:reportFlagsOffset]); !ok || gotLoad != l {
 			t.Fatalf("report without flags %t %+v, want %+v", ok, gotLoad, l)
 		}
