--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -101,6 +101,9 @@
 	position.Position
 	// List is sorted by ID.
 	List []Server `json:"list"`
+	// Evacuations is the newest known set of evacuated zones. Its position is its own, since it
+	// may have been read before or after the list.
+	Evacuations Evacuations `json:"evacuations,omitzero"`
 }
 
 // NewServers returns a reading with the list sorted by ID. It sorts list in place.
@@ -124,6 +127,9 @@
 			strconv.Itoa(int(v.Slots)) + "|" + string(v.State) + "\n"
 		_, _ = h.Write([]byte(text))
 	}
+	for _, zone := range s.Evacuations.Zones {
+		_, _ = h.Write([]byte("evacuated|" + zone + "\n"))
+	}
 	return h.Sum64()
 }
 
@@ -165,13 +171,14 @@
 	return &next
 }
 
-// WithServers returns a copy with the given reading, or c itself if it is older.
+// WithServers returns a copy with the given list, or with the former one if the given one is older,
+// and with the newer one of the two sets of evacuated zones. It returns c itself if both are older.
 func (c *Catalog) WithServers(s Servers) *Catalog {
 	if s.Before(c.Servers.Position) {
-		return c
+		return c.WithEvacuations(s.Evacuations)
 	}
 	next := *c
-	next.Servers = s
+	next.Servers = s.WithEvacuations(c.Servers.Evacuations)
 	next.byService = lo.GroupBy(s.List, func(v Server) string { return v.Service })
 	return &next
 }
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -95,11 +95,14 @@
 	position.Position
 	// List holds the differences between the lists. Servers that warm up are always in it.
 	List Delta[string, Server] `json:"list"`
+	// Evacuations is the newer set of evacuated zones, as a whole.
+	Evacuations Evacuations `json:"evacuations,omitzero"`
 }
 
 // Delta returns the delta from s to a newer reading.
 func (s Servers) Delta(next Servers) ServersDelta {
-	return ServersDelta{Base: s.Sum(), Position: next.Position, List: diff(s.List, next.List, serverKey, sameServer)}
+	list := diff(s.List, next.List, serverKey, sameServer)
+	return ServersDelta{Base: s.Sum(), Position: next.Position, List: list, Evacuations: next.Evacuations}
 }
 
 // WithDelta returns the newer reading, or s and false if the delta applies to another reading.
@@ -111,7 +114,9 @@
 		v.Warmup = 0
 		return v
 	})
-	return NewServers(d.Position, d.List.apply(warmedUp, serverKey)), true
+	next := NewServers(d.Position, d.List.apply(warmedUp, serverKey))
+	next.Evacuations = d.Evacuations
+	return next, true
 }
 
 func serverKey(s Server) string { return s.ID }
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -35,7 +35,10 @@
 			Warmup: time.Duration(rapid.IntRange(0, 2).Draw(t, "warmup")) * time.Second,
 		})
 	}
-	return NewServers(position.Position{Revision: revision}, list)
+	servers := NewServers(position.Position{Revision: revision}, list)
+	zones := rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c"})).Draw(t, "evacuated")
+	servers.Evacuations, _ = NewEvacuations(position.Position{Revision: revision}, zones)
+	return servers
 }
 
 // roundTrip returns v after encoding to JSON and decoding, as the receiver gets it.
@@ -69,7 +72,8 @@
 		x, y := drawServers(t, 1), drawServers(t, 2)
 		e := roundTrip(t, x.Delta(y))
 		servers, ok := x.WithDelta(e)
-		if !ok || servers.Revision != 2 || servers.Sum() != y.Sum() || !slices.Equal(servers.List, y.List) {
+		if !ok || servers.Revision != 2 || servers.Sum() != y.Sum() || !slices.Equal(servers.List, y.List) ||
+			!slices.Equal(servers.Evacuations.Zones, y.Evacuations.Zones) {
 			t.Fatalf("servers %t %+v, want %+v", ok, servers, y)
 		}
 		if _, ok := y.WithDelta(e); ok && x.Sum() != y.Sum() {
