Read the operator's keys in one paged call

Where evacuateMillis is set, the balancer reads the prefix op/ in place of op/config, with no further call, and gets the evacuated zones with the config.

--- a/internal/catalog/evacuations.go
+++ b/internal/catalog/evacuations.go
@@ -76,3 +76,14 @@
 	next.Servers.Evacuations = e
 	return &next
 }
+
+// Operator is what the operator has written to the platform, as read at one time.
+type Operator struct {
+	// Routes is the config; its version is 0 if it could not be read.
+	Routes Routes
+	// Evacuations is the set of evacuated zones; it is known only where the deployment has
+	// evacuations.
+	Evacuations Evacuations
+	// Faults holds an error for each key that could not be used.
+	Faults []error
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,8 +22,9 @@
 
 // Source reads the platform.
 type Source struct {
-	// Routes returns the newest routes.
-	Routes func(ctx context.Context) (catalog.Routes, error)
+	// Routes returns what the operator has written. The evacuated zones are valid if they are
+	// known, also with an error.
+	Routes func(ctx context.Context) (catalog.Operator, error)
 	// Servers returns the servers, and an error for each entry that describes none.
 	Servers func(ctx context.Context) (catalog.Servers, []error, error)
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -33,14 +33,14 @@
 
 func (s *store) source(self netip.Addr) Source {
 	return Source{
-		Routes: func(context.Context) (catalog.Routes, error) {
+		Routes: func(context.Context) (catalog.Operator, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.calls++
 			if s.refused[self] {
-				return catalog.Routes{}, errors.New("refused")
+				return catalog.Operator{}, errors.New("refused")
 			}
-			return s.routes, nil
+			return catalog.Operator{Routes: s.routes}, nil
 		},
 		Servers: func(context.Context) (catalog.Servers, []error, error) {
 			s.mu.Lock()
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -71,11 +71,11 @@
 	requestedAt := d.config.Clock.Now()
 	if !d.starting() {
 		d.counts.Reads.Add(1)
-		routes, err := d.config.Source.Routes(ctx)
+		read, err := d.config.Source.Routes(ctx)
 		if err != nil {
 			return err
 		}
-		d.applyRoutes(routes, "platform")
+		d.applyRoutes(read.Routes, "platform")
 	}
 	d.counts.Reads.Add(1)
 	former := d.catalog.Load().Servers.Position
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -47,7 +47,7 @@
 
 func newBalancer(s packetsettings.Balancer, l *eventlog.Log) (*balancer, error) {
 	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
-	store := platform.NewStore(s.Platform, s.Back.Addr())
+	store := platform.NewStore(s.Platform, s.Back.Addr(), platform.WithEvacuations(s.EvacuateMillis > 0))
 	b.directory = directory.NewDirectory(directory.Config{
 		Self:        s.Back,
 		Peer:        s.Peer,
