Spread the set of evacuated zones between balancers and replicas

Digests state the position of the set; a directory fetches a newer one, with the servers or by itself, or advances its position where servers and zones are the same. An older list of servers may bring a newer set, and the readings of a balancer that has just started, which hold servers alone, keep it. Older programs do not read the set, so a newer one does not wait for their readings where the deployment has evacuations. Tests of internal/directory, internal/steer and internal/packetcli pass, also with the race detector.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,6 +44,9 @@
 	Zone string
 	// Seeds are the balancers whose catalogs are fetched at the start; some may be down.
 	Seeds []netip.Addr
+	// Evacuations is true if the deployment evacuates zones, so that a reading counts only if it
+	// contains the evacuated ones.
+	Evacuations bool
 	// Bounds are the time bounds of the deployment.
 	Bounds bounds.Bounds
 	// Source reads the platform.
@@ -85,7 +88,9 @@
 	// force were read from the platform, by this balancer or another one. They are not zero if
 	// the catalog has servers, and never later than now.
 	firstReadAt, readAt time.Time
-	// sum is the hash of the servers in the catalog.
+	// evacuationsReadAt is when the set of evacuated zones in force was read; zero if it never was.
+	evacuationsReadAt time.Time
+	// sum is the hash of the servers and evacuated zones in the catalog.
 	sum uint64
 	// passedSum is the hash of the servers that were last passed to Changed, and passedAt the
 	// latest time at which they were read.
@@ -130,6 +135,8 @@
 	leaving bool
 	// failing is true if its latest read of the platform had failed.
 	failing bool
+	// evacuations is true if it reads the evacuated zones, or the deployment has none.
+	evacuations bool
 }
 
 // Counts are totals since the start.
@@ -275,7 +282,6 @@
 // applyServers replaces the servers in force unless s is from an earlier position. age is the
 // time since the platform was called for them.
 func (d *Directory) applyServers(s catalog.Servers, age time.Duration, from string) {
-	sum := s.Sum()
 	at := d.config.Clock.Now().Add(-age)
 	d.mu.Lock()
 	before := d.catalog.Load()
@@ -291,8 +297,9 @@
 		return
 	}
 	d.refusing = false
-	changed := sum != d.sum || before.Servers.Revision == 0
 	next := before.WithServers(s)
+	sum := next.Servers.Sum()
+	changed := sum != d.sum || before.Servers.Revision == 0
 	d.catalog.Store(next)
 	d.updateExpired(before.Servers.List, s.List)
 	d.sum = sum
@@ -355,6 +362,7 @@
 	return steer.Freshness{
 		RoutesVersion: c.Routes.Version,
 		Position:      c.Servers.Position,
+		EvacuationsAt: c.Servers.Evacuations.Position,
 		Age:           d.config.Clock.Since(d.readAt),
 		Sum:           d.sum,
 		Leaving:       d.leaving,
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -25,7 +25,9 @@
 	mu      sync.Mutex
 	routes  catalog.Routes
 	servers catalog.Servers
-	refused map[netip.Addr]bool
+	// evacuations is known once it was published.
+	evacuations catalog.Evacuations
+	refused     map[netip.Addr]bool
 	// address is the address of every server.
 	address netip.Addr
 	calls   int
@@ -40,7 +42,7 @@
 			if s.refused[self] {
 				return catalog.Operator{}, errors.New("refused")
 			}
-			return catalog.Operator{Routes: s.routes}, nil
+			return catalog.Operator{Routes: s.routes, Evacuations: s.evacuations}, nil
 		},
 		Servers: func(context.Context) (catalog.Servers, []error, error) {
 			s.mu.Lock()
@@ -162,6 +164,7 @@
 		Zone:        "a",
 		Seeds:       []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
 		Bounds:      bounds.Default(),
+		Evacuations: f.store.evacuations.Known(),
 		Source:      source,
 		Send: func(b []byte, to netip.AddrPort) {
 			f.mu.Lock()
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -47,6 +47,8 @@
 	position.Position
 	// Sum is the hash of the servers that the caller has.
 	Sum uint64 `json:"sum"`
+	// EvacuationsAt is the position of the set of evacuated zones that the caller has.
+	EvacuationsAt position.Position `json:"evacuationsAt,omitzero"`
 }
 
 // catalogResult holds what the caller lacks, as complete lists or as deltas.
@@ -59,6 +61,11 @@
 	ServersDelta *catalog.ServersDelta `json:"serversDelta,omitempty"`
 	// AgeMillis is the time since the servers were read, in milliseconds.
 	AgeMillis int64 `json:"ageMillis"`
+	// Evacuations is the set of evacuated zones. It is absent if it is in the servers, or the
+	// caller has the same or a newer one.
+	Evacuations *catalog.Evacuations `json:"evacuations,omitempty"`
+	// EvacuationsAgeMillis is the time since that set was read, in milliseconds.
+	EvacuationsAgeMillis int64 `json:"evacuationsAgeMillis,omitempty"`
 	// Corroborated is true if the balancer has a complete list of the servers that may run.
 	Corroborated bool `json:"corroborated"`
 	// Expired holds the servers whose entries have recently expired.
@@ -117,6 +124,7 @@
 	if !ok {
 		return
 	}
+	d.confirmEvacuations(f, from.String())
 	if f.Replica {
 		d.handleReplica(ctx, f, from)
 		return
@@ -124,7 +132,7 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing}
+	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, evacuations: d.readsEvacuations(f)}
 	if d.config.Replica {
 		members = nil
 	}
@@ -141,7 +149,7 @@
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
 		}
 	}
-	newer := f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt)
+	newer := f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt) || d.lacksEvacuations(f)
 	d.peerCorroborated = d.peerCorroborated || f.Corroborated
 	if (newer || f.Corroborated && !d.corroboratedLocked()) && d.mayFetch(now) {
 		d.startFetch(ctx, from, d.config.PeerPort)
@@ -154,7 +162,7 @@
 // lock.
 func (d *Directory) confirms(f steer.Freshness) bool {
 	c := d.catalog.Load()
-	return f.Revision > 0 && f.Sum == d.sum && d.sum == d.passedSum &&
+	return f.Revision > 0 && f.Sum == d.sum && d.sum == d.passedSum && d.readsEvacuations(f) &&
 		f.RoutesVersion <= c.Routes.Version && !f.Before(c.Servers.Position)
 }
 
@@ -199,7 +207,7 @@
 	defer func() { _ = c.Close() }()
 	base, sum := d.current()
 	requestedAt := d.config.Clock.Now()
-	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{base.Routes.Version, base.Servers.Position, sum})
+	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{base.Routes.Version, base.Servers.Position, sum, base.Servers.Evacuations.Position})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
@@ -241,6 +249,7 @@
 	if r.Routes != nil {
 		d.applyRoutes(*r.Routes, from)
 	}
+	d.takeEvacuations(&r, d.config.Clock.Since(requestedAt), from)
 	if r.Servers != nil {
 		list, faults := usable(r.Servers.List)
 		d.recordIgnored(faults, "balancer")
@@ -293,7 +302,12 @@
 	if c.Routes.Version > p.RoutesVersion {
 		d.history.routesSince(p.RoutesVersion, c.Routes, &r)
 	}
+	if p.EvacuationsAt.Before(c.Servers.Evacuations.Position) {
+		r.EvacuationsAgeMillis = now.Sub(d.evacuationsReadAt).Milliseconds()
+		r.Evacuations = &c.Servers.Evacuations
+	}
 	if p.Before(c.Servers.Position) {
+		r.Evacuations = nil
 		d.history.serversSince(p.Sum, c.Servers, &r)
 		r.AgeMillis = now.Sub(d.readAt).Milliseconds()
 	}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -72,6 +72,10 @@
 	if !d.starting() {
 		d.counts.Reads.Add(1)
 		read, err := d.config.Source.Routes(ctx)
+		if read.Evacuations.Known() {
+			d.recordIgnored(read.Faults, "operator")
+			d.applyEvacuations(read.Evacuations, d.config.Clock.Since(requestedAt), "platform")
+		}
 		if err != nil {
 			return err
 		}
@@ -136,9 +140,10 @@
 
 // mayRead reports whether a balancer reads the platform for others, as soon as it can. Those that
 // are about to stop do not, nor do those whose list is from an earlier epoch than the given one,
-// or from an unknown one: their lists would not be applied.
+// or from an unknown one: their lists would not be applied. Nor do those that do not read the
+// evacuated zones.
 func (m member) mayRead(epoch uint64) bool {
-	return !m.leaving && m.epoch >= epoch
+	return !m.leaving && m.epoch >= epoch && m.evacuations
 }
 
 // reads reports whether a balancer reads the platform for others.
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -44,8 +44,8 @@
 }
 
 // handleReplica fetches the catalog of a replica if replicaDelay has passed since the
-// start and neither the platform nor another balancer has provided a complete one. A
-// replica is the last choice because its catalog may be old.
+// start and neither the platform nor another balancer has provided a complete one, or if the
+// replica has newer evacuations. A replica is the last choice because its catalog may be old.
 func (d *Directory) handleReplica(ctx context.Context, f steer.Freshness, from netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -53,7 +53,7 @@
 		return
 	}
 	empty := !d.catalog.Load().Complete() && f.RoutesVersion > 0 && f.Revision > 0
-	if empty || f.Corroborated && !d.corroboratedLocked() {
+	if empty || f.Corroborated && !d.corroboratedLocked() || d.lacksEvacuations(f) {
 		d.startFetch(ctx, from, d.config.ReplicaPort)
 	}
 }
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -19,9 +19,12 @@
 	// Position is the state of the platform at which the servers were read; zero if they
 	// never were.
 	position.Position
+	// EvacuationsAt is the state of the platform at which the evacuated zones were read; zero if
+	// they never were.
+	EvacuationsAt position.Position
 	// Age is the time since the servers were read.
 	Age time.Duration
-	// Sum is a hash of the list of servers; equal lists have equal hashes.
+	// Sum is a hash of the list of servers and of the evacuated zones; equal ones have equal hashes.
 	Sum uint64
 	// Leaving is true if the sender is about to stop.
 	Leaving bool
@@ -48,8 +51,10 @@
 	// epochLen is the length of the epoch, which follows the other balancers: programs that
 	// do not know epochs ignore what follows them.
 	epochLen = 8
+	// evacuationsLen is the length of EvacuationsAt, which follows the epoch if it is not zero.
+	evacuationsLen = 8 + 8
 	// DigestMaxLen is the length of the longest digest, in bytes.
-	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen
+	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen + evacuationsLen
 )
 
 // PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
@@ -68,7 +73,13 @@
 	}
 	n := digestFixedLen + len(members)*addrLen
 	binary.BigEndian.PutUint64(b[n:], f.Epoch)
-	return n + epochLen
+	n += epochLen
+	if f.EvacuationsAt == (position.Position{}) {
+		return n
+	}
+	binary.BigEndian.PutUint64(b[n:], f.EvacuationsAt.Epoch)
+	binary.BigEndian.PutUint64(b[n+8:], f.EvacuationsAt.Revision)
+	return n + evacuationsLen
 }
 
 // ParseDigest decodes a digest: the sender's state, and the other balancers that it names.
@@ -87,12 +98,19 @@
 		members[i] = addr(b[digestFixedLen+i*addrLen:])
 	}
 	at := position.Position{Revision: binary.BigEndian.Uint64(b[10:])}
-	if rest := b[digestFixedLen+n*addrLen:]; len(rest) >= epochLen {
+	rest := b[digestFixedLen+n*addrLen:]
+	if len(rest) >= epochLen {
 		at.Epoch = binary.BigEndian.Uint64(rest)
 	}
+	var evacuationsAt position.Position
+	if len(rest) >= epochLen+evacuationsLen {
+		evacuationsAt.Epoch = binary.BigEndian.Uint64(rest[epochLen:])
+		evacuationsAt.Revision = binary.BigEndian.Uint64(rest[epochLen+8:])
+	}
 	return Freshness{
 		RoutesVersion: binary.BigEndian.Uint64(b[2:]),
 		Position:      at,
+		EvacuationsAt: evacuationsAt,
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
 		Leaving:       b[30]&leavingFlag != 0,
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -94,6 +94,7 @@
 			Leaving: rapid.Bool().Draw(t, "leaving"), Corroborated: rapid.Bool().Draw(t, "corroborated"),
 			Replica: rapid.Bool().Draw(t, "replica"),
 		}
+		fresh.EvacuationsAt = position.Position{Epoch: rapid.Uint64().Draw(t, "evacuationsEpoch"), Revision: rapid.Uint64Min(1).Draw(t, "evacuationsRevision")}
 		members := []netip.AddrPort{drawAddress(t), drawAddress(t)}
 		var digest [DigestMaxLen]byte
 		n := PutDigest(digest[:], fresh, members)
@@ -101,7 +102,11 @@
 		if !ok || got != fresh || len(gotMembers) != 2 || gotMembers[1] != members[1] {
 			t.Fatalf("digest %t %+v %v", ok, got, gotMembers)
 		}
-		fresh.Epoch = 0
+		fresh.EvacuationsAt = position.Position{}
+		if short := PutDigest(digest[:], fresh, members); short != n-evacuationsLen {
+			t.Fatalf("digest without evacuations of %d bytes, want %d", short, n-evacuationsLen)
+		}
+		fresh.Epoch, n = 0, n-evacuationsLen
 		if got, _, ok := ParseDigest(digest[:n-epochLen]); !ok || got != fresh {
 			t.Fatalf("digest without epoch %t %+v, want %+v", ok, got, fresh)
 		}
