Offer no new flow to agents of evacuated zones

The selection holds the evacuated zones and leaves their agents out of the candidates of new flows, not of searches.

--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -15,11 +15,11 @@
 }
 
 // Choices appends to e the candidates of a new flow of the service, at most MaxChoices,
-// with the shortest expected delay first.
+// with the shortest expected delay first. None is in an evacuated zone.
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
 	s.near, s.far = s.near[:0], s.far[:0]
 	for _, a := range s.byService[service] {
-		if !s.usable(a) {
+		if !s.usable(a) || s.evacuated(a, now) {
 			continue
 		}
 		group := &s.far
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -44,6 +44,7 @@
 			s.recordChange(a)
 		}
 	}
+	s.updateEvacuations(servers.Evacuations, now)
 	s.index()
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/evacuation"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -98,8 +99,10 @@
 	// sampled is true if the agent is in the sample from which CutOff infers whether
 	// the balancer reaches the other agents.
 	sampled bool
-	// lastPingAt is when the agent was last pinged; zero if never.
-	lastPingAt time.Time
+	// lastPingAt is when the agent was last pinged; zero if never. toldEvacuated is whether that
+	// ping stated that its zone is evacuated.
+	lastPingAt    time.Time
+	toldEvacuated bool
 }
 
 // Selection stores the agents of all services. It is not safe for concurrent use.
@@ -132,6 +135,8 @@
 	interruptedUntil time.Time
 	// epoch is that of the latest list of servers.
 	epoch uint64
+	// evacuations holds the zones whose servers get no new flows.
+	evacuations evacuation.Zones
 	// recoveries counts how often an agent has answered after it had been silent.
 	recoveries uint32
 	// listVersion is incremented whenever an agent is added, replaced or removed.
@@ -191,7 +196,7 @@
 // RecordPing records that a ping was sent to an agent, which answers it with a report.
 func (s *Selection) RecordPing(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
-		a.lastPingAt = now
+		a.lastPingAt, a.toldEvacuated = now, s.evacuated(a, now)
 		s.awaitReport(a, now)
 	}
 }
@@ -254,7 +259,7 @@
 	return !a.UnansweredSince.IsZero() && now.Sub(a.UnansweredSince) > suspectTimeout
 }
 
-// usable reports whether an agent may be offered new flows. One whose server is no longer
+// usable reports whether an agent may be offered new flows, unless its zone is evacuated. One whose server is no longer
 // listed may be, for the grace period of expired entries.
 func (s *Selection) usable(a *Agent) bool {
 	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving || !s.reportsFor(a) {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -44,8 +44,11 @@
 			switch d.Cmd {
 			case "servers":
 				revision++
-				s.Update(catalog.NewServers(position.Position{Revision: revision}, readServers(t, d)), now)
+				list := catalog.NewServers(position.Position{Revision: revision}, readServers(t, d))
+				s.Update(list.WithEvacuations(readEvacuations(t, d, revision)), now)
 				return ""
+			case "evacuated":
+				return strconv.FormatBool(s.Evacuated("pass", now))
 			case "expired":
 				for _, v := range readServers(t, d) {
 					s.Expire(v, now)
@@ -176,6 +179,19 @@
 	return list
 }
 
+// readEvacuations returns the set of the zones in evacuated=(Z, ...), read in the epoch=E; none if
+// that is absent.
+func readEvacuations(t *testing.T, d *datadriven.TestData, revision uint64) catalog.Evacuations {
+	var at position.Position
+	var zones []string
+	if d.MaybeScanArgs(t, "epoch", &at.Epoch); at.Epoch > 0 {
+		at.Revision = revision
+	}
+	d.MaybeScanArgs(t, "evacuated", &zones)
+	e, _ := catalog.NewEvacuations(at, zones)
+	return e
+}
+
 func readLoad(t *testing.T, d *datadriven.TestData) steer.Load {
 	outstanding, flows, rate, service := 0, 0, 0, 20
 	d.MaybeScanArgs(t, "outstanding", &outstanding)
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -33,7 +33,7 @@
 	// maxPings bounds the pings of one round, also while many agents do not answer.
 	maxPings = 24
 	// maxFirstPings bounds the pings of one round while there are agents that were never
-	// pinged. Each agent is pinged once as soon as it is listed, so that searches do not
+	// pinged, or not since their zone was evacuated or returned. Each agent is pinged once as soon as it is listed, so that searches do not
 	// fail at agents that are down.
 	maxFirstPings = 256
 )
@@ -83,37 +83,40 @@
 	(*b)[at] = c
 }
 
-// DueForPing returns the agents to ping now, the one whose latest ping is the oldest first:
-// those that were never pinged, those that do not answer, and those in use whose report is
-// too old. Agents that were recently searched are due if their report is older than
+// DueForPing returns the agents to ping now: first those that were not pinged since their zone was
+// evacuated or returned; then, the one whose latest ping is the oldest first, those that were
+// never pinged, those that do not answer, those in use whose report is too old, and
+// those of evacuated zones whose latest ping is too old. Agents that were recently searched are due if their report is older than
 // inUsePeriod.
 func (s *Selection) DueForPing(now time.Time) []netip.AddrPort {
-	inUse, neverPinged := 0, 0
+	inUse, uninformed := 0, 0
 	for at, a := range s.tracked {
 		switch {
 		case s.foreign(a) && !a.lastPingAt.IsZero():
 			delete(s.tracked, at)
 		case a.inUse(now):
 			inUse++
+		case s.evacuated(a, now) || a.toldEvacuated:
 		case a.UnansweredSince.IsZero() && !a.wasSuspect && !a.recentlySearched(now) && !a.lastPingAt.IsZero():
 			delete(s.tracked, at)
 		}
-		if a.lastPingAt.IsZero() {
-			neverPinged++
+		if a.lastPingAt.IsZero() || s.misinformed(a, now) {
+			uninformed++
 		}
 	}
-	maxAge := max(minReportAge, time.Duration(inUse)*meanPingInterval)
+	maxAge, noticeAge := max(minReportAge, time.Duration(inUse)*meanPingInterval), s.noticeAge(now)
 	s.scored = s.scored[:0]
 	for _, a := range s.tracked {
 		age := now.Sub(a.LastReportAt)
-		if a.lastPingAt.IsZero() || a.suspect(now) || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod {
-			s.scored = append(s.scored, scored{agent: a})
+		if a.lastPingAt.IsZero() || a.suspect(now) || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod ||
+			s.misinformed(a, now) || s.evacuated(a, now) && now.Sub(a.lastPingAt) > noticeAge {
+			s.scored = append(s.scored, scored{a, lo.Ternary(s.misinformed(a, now), 1.0, 0)})
 		}
 	}
 	s.sort(func(a, b scored) int {
-		return cmp.Or(a.agent.lastPingAt.Compare(b.agent.lastPingAt), a.agent.Address.Compare(b.agent.Address))
+		return cmp.Or(byScore(a, b), a.agent.lastPingAt.Compare(b.agent.lastPingAt), a.agent.Address.Compare(b.agent.Address))
 	})
-	limit := max(maxPings, min(neverPinged, maxFirstPings))
+	limit := max(maxPings, min(uninformed, maxFirstPings))
 	return lo.Uniq(lo.Map(s.scored[:min(len(s.scored), limit)], func(c scored, _ int) netip.AddrPort { return c.agent.Address }))
 }
 
