Refuse new flows at once when only evacuated zones have servers

Pings state whether the zone of the agent is evacuated, and at which position. Tests of internal/packetbalancer pass.

--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -109,12 +109,19 @@
 		first = b.selection.Agent(e.Candidates[0].Agent)
 		b.selection.RecordPlacement(first.Address, now)
 	}
-	unavailable := e.Count == 0 && b.selection.Unavailable(service, now)
+	reason := ""
+	switch {
+	case e.Count > 0:
+	case b.selection.Evacuated(service, now):
+		reason = "evacuated"
+	case b.selection.Unavailable(service, now):
+		reason = "noServer"
+	}
 	b.mu.Unlock()
 	if e.Count == 0 {
 		b.counts.NoServer.Add(1)
-		if unavailable && p.AckSeq == 0 {
-			b.refuse(flow, p, service)
+		if reason != "" && p.AckSeq == 0 {
+			b.refuse(flow, p, service, reason)
 			return
 		}
 		b.config.Log.Info("flowNotPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Str("service", service).
@@ -136,9 +143,9 @@
 	b.Send(buf[start:], e.Candidates[0].Agent)
 }
 
-func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service string) {
+func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service, reason string) {
 	b.counts.Refused.Add(1)
-	b.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", "noServer").Send()
+	b.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", reason).Send()
 	b.reset(flow, p.AckSeq)
 }
 
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -268,8 +268,11 @@
 	if a.Server.ID == "" {
 		return steer.Notice{}
 	}
-	c := b.config.Catalog()
+	c, evacuations := b.config.Catalog(), b.selection.Evacuations()
 	return steer.Notice{
+		EvacuationsKnown:   evacuations.Known(),
+		EvacuationsAt:      evacuations.Position,
+		Evacuated:          b.selection.ZoneEvacuated(a.Server.Zone, now),
 		ServerKnown:        a.Server.Born > 0 && a.UnlistedSince.IsZero(),
 		Born:               a.Server.Born,
 		Warmup:             max(a.WarmUntil.Sub(now), 0),
