Forward every new SYN from the agent of an evacuated zone

The first copy that no candidate can take is reset; for later ones the balancer is notified. Tests of internal/packetagent pass, also with the race detector.

--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -12,8 +12,11 @@
 	Returned atomic.Uint64
 	// NotFound counts packets whose flow no candidate holds or admits.
 	NotFound atomic.Uint64
-	// Refused counts new flows that were reset because their expected delay reached the timeout.
+	// Refused counts new flows that were reset because their expected delay reached the timeout, or
+	// because all candidates are in evacuated zones.
 	Refused atomic.Uint64
+	// Evacuated counts SYN packets that were not delivered because the zone is evacuated.
+	Evacuated atomic.Uint64
 	// Bounced counts packets that the server bounced because it does not hold their flow.
 	Bounced atomic.Uint64
 	// Learned counts flows added to the table from packets of the server.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -85,6 +85,10 @@
 		a.deliverSyn(e, entry, p, rest, now)
 		return
 	}
+	if a.evacuated(now) {
+		a.forwardFromEvacuated(e, p, a.table.Get(flow) != nil, raw, rest)
+		return
+	}
 	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Opening {
 		// The server has not answered the first copy of the SYN.
 		if e.MustAdmit || a.decline(e, flow, raw, rest, silentDelay) {
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -3,17 +3,15 @@
 import (
 	"time"
 
-	"github.com/bergamotgw/bergamotgw/internal/position"
+	"github.com/bergamotgw/bergamotgw/internal/evacuation"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
 // noticed is what pings of balancers have stated about the server. Balancers read the platform at
 // different times, so an older statement never replaces a newer one.
 type noticed struct {
-	// evacuated is whether the server's zone is evacuated, as of the position evacuationsAt; false
-	// before the first statement.
-	evacuated     bool
-	evacuationsAt position.Position
+	// evacuations holds ownZone while the zone of the server is evacuated.
+	evacuations evacuation.Zones
 	// born is the latest start of a server at this address, as a Unix time in milliseconds; 0
 	// before the first statement.
 	born int64
@@ -25,10 +23,8 @@
 
 // recordNotice records what a ping states, unless something newer is known.
 func (a *Agent) recordNotice(n steer.Notice, now time.Time) {
+	a.recordEvacuation(n, now)
 	k := &a.noticed
-	if n.EvacuationsKnown && !n.EvacuationsAt.Before(k.evacuationsAt) {
-		k.evacuated, k.evacuationsAt = n.Evacuated, n.EvacuationsAt
-	}
 	if n.ServerKnown && n.Born >= k.born {
 		k.born, k.coldUntil, k.coldFlowsPerSecond = n.Born, now.Add(n.Warmup), n.ColdFlowsPerSecond
 	}
