Show evacuations in metrics, events and explain

Gauges of the evacuated zones at balancers and agents, a counter of the SYNs that agents did not deliver for them, and the cause refusedEvacuated. Tests of internal/packetmetrics, internal/explain, internal/packetagent and internal/packetbalancer pass.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -34,6 +34,9 @@
 		{event: "flowRefused", matches: reason("noServer"), name: "refusedNoServer", text: func(l Line) string {
 			return fmt.Sprintf("refused, not run: %s had no server of service %v", l.VM, l.Fields["service"])
 		}},
+		{event: "flowRefused", matches: reason("evacuated"), name: "refusedEvacuated", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: every server that %s could have offered the flow to was in an evacuated availability zone", l.VM)
+		}},
 		{event: "noRoute", name: "noRoute", text: func(l Line) string {
 			return fmt.Sprintf("no route: version %v of the routes at %s does not have the address", l.Fields["routes"], l.VM)
 		}},
--- a/internal/packetagent/evacuation.go
+++ b/internal/packetagent/evacuation.go
@@ -12,7 +12,14 @@
 // of no other.
 const ownZone = "own"
 
-// evacuated reports whether the zone of the server is evacuated, as far as balancers have stated.
+// Evacuated reports whether the zone of the server is evacuated, as far as balancers have stated.
+func (a *Agent) Evacuated() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evacuated(a.config.Clock.Now())
+}
+
+// evacuated is Evacuated for a caller that holds the lock.
 func (a *Agent) evacuated(now time.Time) bool {
 	return a.noticed.evacuations.Has(ownZone, now)
 }
--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -20,7 +20,8 @@
 	Inconclusive atomic.Uint64
 	// Reset counts open flows that were reset because no server holds them.
 	Reset atomic.Uint64
-	// Refused counts new flows that were reset because no server was available.
+	// Refused counts new flows that were reset because no server was available, or only in evacuated
+	// zones.
 	Refused atomic.Uint64
 	// NoRoute counts packets to addresses without a route.
 	NoRoute atomic.Uint64
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/directory"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
@@ -54,7 +55,7 @@
 	m.counter("flows_lost_total", "Packets whose flow no agent holds or admits.", c.NotFound.Load)
 	m.counter("searches_inconclusive_total", "Searches that found no holder of a flow and could not prove that there is none.", c.Inconclusive.Load)
 	m.counter("flows_not_held_total", "Open flows reset because no server holds them.", c.Reset.Load)
-	m.counter("flows_refused_total", "New flows reset because their service has no server.", c.Refused.Load)
+	m.counter("flows_refused_total", "New flows reset because their service has no server, or only in evacuated zones.", c.Refused.Load)
 	m.counter("packets_without_route_total", "Packets to addresses without a route.", c.NoRoute.Load)
 	m.counter("packets_without_server_total", "Packets of services without a server.", c.NoServer.Load)
 	m.counter("datagrams_malformed_total", "Datagrams that could not be decoded.", c.Malformed.Load)
@@ -71,6 +72,7 @@
 	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
 	m.gauge("servers_revision", "Revision of the platform's store at which the servers in force were read.", func() float64 { return float64(d.Catalog().Servers.Revision) })
 	m.gauge("servers_epoch", "Number of times that the platform's store had returned from a backup by that reading.", func() float64 { return float64(d.Catalog().Servers.Epoch) })
+	m.gauge("evacuated_zones", "Availability zones in the newest known set of evacuated ones.", func() float64 { return float64(len(d.Catalog().Servers.Evacuations.Zones)) })
 	m.gauge("peers_heard", "Other balancers from which a digest was received recently.", func() float64 { return float64(d.Peers()) })
 }
 
@@ -81,7 +83,8 @@
 	m.counter("packets_passed_on_total", "Packets forwarded to the next candidate.", c.Forwarded.Load)
 	m.counter("packets_returned_total", "Packets returned to their balancer.", c.Returned.Load)
 	m.counter("flows_lost_total", "Packets whose flow no candidate holds or admits.", c.NotFound.Load)
-	m.counter("flows_refused_total", "New flows reset because their expected delay reached the timeout.", c.Refused.Load)
+	m.counter("flows_refused_total", "New flows reset because their expected delay reached the timeout, or because all candidates are in evacuated zones.", c.Refused.Load)
+	m.counter("syns_evacuated_total", "SYN packets of new flows not delivered to the server because its zone is evacuated.", c.Evacuated.Load)
 	m.counter("packets_bounced_total", "Packets that the server bounced because it does not hold their flow.", c.Bounced.Load)
 	m.counter("flows_learnt_total", "Flows added to the table from packets of the server.", c.Learned.Load)
 	m.counter("server_asked_total", "Packets of unknown flows delivered to the server to find out whether it holds the flow.", c.ServerQueries.Load)
@@ -96,13 +99,18 @@
 	m.gauge("flows", "Flows in the table.", func() float64 { return float64(a.Flows()) })
 	m.gauge("requests", "Requests that are queued or running.", func() float64 { return float64(a.PendingRequests()) })
 	m.gauge("server_silent", "1 while the server does not answer, otherwise 0.", func() float64 {
-		if a.Load().State == steer.Silent {
-			return 1
-		}
-		return 0
+		return one(a.Load().State == steer.Silent)
+	})
+	m.gauge("zone_evacuated", "1 while the zone of the server is evacuated, as far as balancers have stated, otherwise 0.", func() float64 {
+		return one(a.Evacuated())
 	})
 }
 
+// one returns 1 if a condition is true, and 0 otherwise.
+func one(condition bool) float64 {
+	return lo.Ternary(condition, 1.0, 0)
+}
+
 // Answers returns a function that records the times of each answer of a service. once is
 // true if the request must not run twice, total is the time since the request was sent, and
 // server the part of it after the delivery to the server.
