--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -47,7 +47,7 @@
 
 func newBalancer(s packetsettings.Balancer, l *eventlog.Log) (*balancer, error) {
 	b := &balancer{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
-	store := platform.NewStore(s.Platform, s.Back.Addr())
+	store := platform.NewStore(s.Platform, s.Back.Addr(), platform.WithEvacuations(s.EvacuateMillis > 0))
 	b.directory = directory.NewDirectory(directory.Config{
 		Self:        s.Back,
 		Peer:        s.Peer,
@@ -55,6 +55,7 @@
 		ReplicaPort: s.AgentPort,
 		Zone:        s.Zone,
 		Bounds:      s.Bounds(),
+		Evacuations: s.EvacuateMillis > 0,
 		Seeds:       lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
 		Source: directory.Source{
 			Routes:  store.Routes,
