Let agents infer from pings that their tables are complete

An agent that has started after its server asked that server about every unknown flow for as long as a flow may last, also when both had started together after a loss of power. The ping also states the service of the entry, since one of another service may name the address before the first report. Reports state TableComplete.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -40,10 +40,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if kind == steer.Ping {
-		a.subscribers[from] = now
-		if n, ok := steer.ParsePing(raw); ok {
-			a.recordNotice(n, now)
+		if n, ok := steer.ParsePing(raw); ok && a.recordNotice(n, now) {
+			// Balancers that search flows need not wait for the next change of the load.
+			a.reportToSubscribers(a.load(now), now)
 		}
+		a.subscribers[from] = now
 		a.sendReport(from, packet.Flow{}, now)
 		return
 	}
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -119,6 +119,7 @@
 		Failures:          a.failures.share(now),
 		ServiceTime:       a.service.Mean(),
 		Service:           a.config.Service,
+		TableComplete:     a.tableComplete(now),
 	}
 	switch {
 	case a.leaving:
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bergamotgw/bergamotgw/internal/completeness"
 	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -23,13 +24,23 @@
 	coldFlowsPerSecond float64
 }
 
-// recordNotice records what a ping states, unless something newer is known.
-func (a *Agent) recordNotice(n steer.Notice, now time.Time) {
+// recordNotice records what a ping states, unless something newer is known. An entry of another
+// service at the address says nothing about the server. It returns true if the notice has
+// completed the table.
+func (a *Agent) recordNotice(n steer.Notice, now time.Time) (completed bool) {
 	k := &a.noticed
 	if n.EvacuationsKnown && !n.EvacuationsAt.Before(k.evacuationsAt) {
 		k.evacuated, k.evacuationsAt = n.Evacuated, n.EvacuationsAt
 	}
-	if n.ServerKnown && n.Born >= k.born {
+	if !n.ServerKnown || n.Service != a.config.Service {
+		return false
+	}
+	if completed = a.completeness.RecordServer(completeness.Server{Born: n.Born, CommonStart: n.CommonStart}, now); completed {
+		a.config.Log.Info("tableCompleted").Str("reason", string(a.completeness.Reason(now))).
+			Time("serverStarted", time.UnixMilli(n.Born)).Time("agentStarted", a.completeness.Started()).Send()
+	}
+	if n.Born >= k.born {
 		k.born, k.coldUntil, k.coldFlowsPerSecond = n.Born, now.Add(n.Warmup), n.ColdFlowsPerSecond
 	}
+	return completed
 }
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/bergamotgw/bergamotgw/internal/completeness"
 	"github.com/bergamotgw/bergamotgw/internal/dispatch"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
@@ -73,15 +74,13 @@
 	idField   []byte
 	transport Transport
 	// relay and outbound are nil in an agent without sockets.
-	relay     *net.UDPConn
-	outbound  *net.UDPConn
-	startedAt time.Time
-	counts    Counts
+	relay    *net.UDPConn
+	outbound *net.UDPConn
+	counts   Counts
 
 	mu sync.Mutex
-	// startedBeforeServer is true once the server has started after this process: it holds
-	// no flow whose packets did not pass this process.
-	startedBeforeServer bool
+	// completeness is what is known about flows of the server that are not in the table.
+	completeness *completeness.Table
 	// sweptAt is the time of the latest sweep.
 	sweptAt time.Time
 	table   *flowtable.Table
@@ -187,7 +186,7 @@
 		config:        c,
 		idField:       idField,
 		transport:     t,
-		startedAt:     now,
+		completeness:  completeness.NewTable(now, c.MaxFlow),
 		sweptAt:       now,
 		table:         flowtable.NewTable(),
 		running:       make(map[packet.Flow]running),
@@ -247,13 +246,12 @@
 func (a *Agent) RecordServerDown() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.startedBeforeServer = true
+	a.completeness.RecordServerDown()
 }
 
-// tableComplete reports whether the table holds every open flow of the server: the server
-// has started after the agent, or the agent has run for longer than MaxFlow.
+// tableComplete reports whether the table holds every open flow of the server.
 func (a *Agent) tableComplete(now time.Time) bool {
-	return a.startedBeforeServer || now.Sub(a.startedAt) > a.config.MaxFlow
+	return a.completeness.Complete(now)
 }
 
 // Send sends a datagram from the agent's relay address.
--- a/internal/packetagent/whole_test.go
+++ b/internal/packetagent/whole_test.go
@@ -79,3 +79,28 @@
 		t.Errorf("%d packets to the server, %d notices that it does not hold the flow, want 1 and none", delivered, notFound)
 	}
 }
+
+// TestNoticeCompletesTable guards against the denial of open flows after an agent has restarted and
+// a ping names an entry of another service at its address, which has started later, and against
+// queries to a server that a ping proves to have started after the agent.
+func TestNoticeCompletesTable(t *testing.T) {
+	for _, own := range []bool{false, true} {
+		a := newBenchAgent()
+		a.config.Service = 7
+		var load steer.Load
+		a.transport.SendFleetDatagram = func(raw []byte, _ netip.AddrPort) error {
+			load, _, _ = steer.ParseReport(raw)
+			return nil
+		}
+		n := steer.Notice{ServerKnown: true, Service: 8, Born: a.config.Clock.Now().UnixMilli()}
+		if own {
+			n.Service, n.CommonStart = a.config.Service, true
+		}
+		var ping [steer.PingLen]byte
+		steer.PutPing(ping[:], n)
+		a.HandleFleetDatagram(ping[:], balancer)
+		if load.TableComplete != own {
+			t.Errorf("server of the agent's service %t: reported a complete table %t", own, load.TableComplete)
+		}
+	}
+}
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -271,6 +271,8 @@
 	c := b.config.Catalog()
 	return steer.Notice{
 		ServerKnown:        a.Server.Born > 0 && a.UnlistedSince.IsZero(),
+		Service:            catalog.ServiceID(a.Server.Service),
+		CommonStart:        b.selection.StartedTogether(a.Server),
 		Born:               a.Server.Born,
 		Warmup:             max(a.WarmUntil.Sub(now), 0),
 		ColdFlowsPerSecond: c.Routes.ColdFlowsPerSecond[a.Server.Service],
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -90,7 +90,7 @@
 func (s *Selection) setListed(at place, v catalog.Server, now time.Time) {
 	a := s.agents[at]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
-		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), startedTogether: s.startedTogether(v)}
+		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), startedTogether: s.StartedTogether(v)}
 		a.recentlyStarted = v.Warmup > 0 || a.startedTogether
 		s.agents[at], s.tracked[at] = a, a
 		a.Server = v
@@ -108,8 +108,8 @@
 	}
 }
 
-// startedTogether reports whether a server has started together with this balancer or later.
-func (s *Selection) startedTogether(v catalog.Server) bool {
+// StartedTogether reports whether a server has started together with this balancer or later.
+func (s *Selection) StartedTogether(v catalog.Server) bool {
 	return v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
 }
 
--- a/internal/steer/ping.go
+++ b/internal/steer/ping.go
@@ -15,9 +15,14 @@
 	EvacuationsKnown bool
 	EvacuationsAt    position.Position
 	Evacuated        bool
-	// ServerKnown is true if a server of the agent's service is listed at its address. The fields
-	// below are valid only then.
+	// ServerKnown is true if a server is listed at the agent's address. The fields below are valid
+	// only then.
 	ServerKnown bool
+	// Service is the numeric identifier of its service: an entry of another writer may name the
+	// address before the agent has reported its service to the balancer.
+	Service uint32
+	// CommonStart is true if the balancer has started together with the server or later.
+	CommonStart bool
 	// Born is the Unix time of the start of that server, in milliseconds.
 	Born int64
 	// Warmup is how long the server stays cold from now on.
@@ -32,6 +37,7 @@
 	evacuationsKnownFlag = 1
 	evacuatedFlag        = 2
 	serverKnownFlag      = 4
+	commonStartFlag      = 8
 )
 
 const (
@@ -44,20 +50,23 @@
 	pingBornOffset     = pingRevisionOffset + 8
 	pingWarmupOffset   = pingBornOffset + 8
 	pingColdOffset     = pingWarmupOffset + 4
+	pingServiceOffset  = pingColdOffset + 4
 )
 
 // PingLen is the length of a ping, in bytes.
-const PingLen = pingColdOffset + 4
+const PingLen = pingServiceOffset + 4
 
 // PutPing writes a ping into b, which holds at least PingLen bytes.
 func PutPing(b []byte, n Notice) {
 	b[0], b[kindOffset] = magic, byte(Ping)
-	b[pingFlagsOffset] = flag(n.EvacuationsKnown, evacuationsKnownFlag) | flag(n.Evacuated, evacuatedFlag) | flag(n.ServerKnown, serverKnownFlag)
+	b[pingFlagsOffset] = flag(n.EvacuationsKnown, evacuationsKnownFlag) | flag(n.Evacuated, evacuatedFlag) |
+		flag(n.ServerKnown, serverKnownFlag) | flag(n.CommonStart, commonStartFlag)
 	binary.BigEndian.PutUint64(b[pingEpochOffset:], n.EvacuationsAt.Epoch)
 	binary.BigEndian.PutUint64(b[pingRevisionOffset:], n.EvacuationsAt.Revision)
 	binary.BigEndian.PutUint64(b[pingBornOffset:], uint64(n.Born))
 	binary.BigEndian.PutUint32(b[pingWarmupOffset:], clampUint32(float64(n.Warmup.Milliseconds())))
 	binary.BigEndian.PutUint32(b[pingColdOffset:], clampUint32(n.ColdFlowsPerSecond*rateUnit))
+	binary.BigEndian.PutUint32(b[pingServiceOffset:], n.Service)
 }
 
 // ParsePing decodes a ping. The notice of a ping without one is zero. ParsePing returns false if
@@ -78,7 +87,8 @@
 		}
 	}
 	if flags&serverKnownFlag != 0 {
-		n.ServerKnown = true
+		n.ServerKnown, n.CommonStart = true, flags&commonStartFlag != 0
+		n.Service = binary.BigEndian.Uint32(b[pingServiceOffset:])
 		n.Born = int64(min(binary.BigEndian.Uint64(b[pingBornOffset:]), math.MaxInt64))
 		n.Warmup = time.Duration(binary.BigEndian.Uint32(b[pingWarmupOffset:])) * time.Millisecond
 		n.ColdFlowsPerSecond = float64(binary.BigEndian.Uint32(b[pingColdOffset:])) / rateUnit
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -119,6 +119,7 @@
 		}
 		if rapid.Bool().Draw(t, "serverKnown") {
 			n.ServerKnown, n.Born = true, rapid.Int64Min(0).Draw(t, "born")
+			n.Service, n.CommonStart = rapid.Uint32().Draw(t, "service"), rapid.Bool().Draw(t, "commonStart")
 			n.Warmup = time.Duration(rapid.Uint32().Draw(t, "warmup")) * time.Millisecond
 			n.ColdFlowsPerSecond = float64(rapid.IntRange(0, 1<<20).Draw(t, "coldFlows"))
 		}
