--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -120,6 +120,7 @@
 		ServiceTime:       a.service.Mean(),
 		Service:           a.config.Service,
 		StoppedServer:     uint32(a.stoppedServer),
+		TableComplete:     a.tableComplete(now),
 	}
 	switch {
 	case a.leaving:
