--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -25,6 +25,11 @@
 // short, because the open flows of the server make no progress until the agent runs again.
 const agentLeaveTimeout = 400 * time.Millisecond
 
+// stoppedNoticeTime is how long an agent whose server has stopped still answers pings, which then
+// state that. Balancers that start together with the VM need up to a second to read the list of
+// servers and to ping its agents. No flow waits for the agent meanwhile.
+const stoppedNoticeTime = time.Second
+
 // probeTimeout limits the TCP handshake with the server on the same VM, which accepts or
 // refuses a connection within a millisecond.
 const probeTimeout = 200 * time.Millisecond
@@ -95,10 +100,12 @@
 }
 
 // probeStop detects whether the server has stopped before the agent does, as on a VM that is
-// removed. Balancers need not wait then for the expiry of its entry to know that it holds no flow.
+// removed, and then states that to balancers for stoppedNoticeTime. They need not wait for the
+// expiry of its entry to know that it holds no flow.
 func (a *agent) probeStop(ctx context.Context) {
 	if a.serverDown(ctx) {
 		a.dataPlane.RecordServerStopped()
+		<-a.clock.After(stoppedNoticeTime)
 	}
 }
 
