--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -38,7 +38,7 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unansweredSince, a.stoppedServer = time.Time{}, 0
+	a.unansweredSince, a.serverStopped = time.Time{}, false
 	a.logSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -119,9 +119,9 @@
 	leaving      bool
 	// noticed is what balancers have stated about the server.
 	noticed noticed
-	// stoppedServer is the start of the server that was listed here when none ran, as in
-	// noticed.born; 0 if there was none, or if the server has sent packets since.
-	stoppedServer int64
+	// serverStopped is true if no server ran after the latest packet of one: the listed one has
+	// stopped, also if a balancer names it only later.
+	serverStopped bool
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -252,12 +252,12 @@
 	a.completeness.RecordServerDown()
 }
 
-// RecordServerStopped records that no server runs now, and reports that to the balancers: the
-// server that they have listed here holds no flow any more.
+// RecordServerStopped records that no server runs now and that none will start beside this agent,
+// and reports that to the balancers: the server that they list here holds no flow any more.
 func (a *Agent) RecordServerStopped() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.stoppedServer = a.noticed.born
+	a.serverStopped = true
 	now := a.config.Clock.Now()
 	a.reportToSubscribers(a.load(now), now)
 }
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -45,8 +45,11 @@
 // again: balancers would no longer wait for its answer about their flows.
 func TestStoppedServer(t *testing.T) {
 	a := newBenchAgent()
-	a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: 1_800_000_000_123}, a.config.Clock.Now())
 	a.RecordServerStopped()
+	if got := a.Load().StoppedServer; got != 0 {
+		t.Errorf("stopped server %d before a balancer has named it, want none", got)
+	}
+	a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: 1_800_000_000_123}, a.config.Clock.Now())
 	if got, want := a.Load().StoppedServer, uint32(1_800_000_000_123&0xffffffff); got != want {
 		t.Errorf("stopped server %d, want %d", got, want)
 	}
