Query agents at once after a common start, and only changed ones again

After a loss of power each lost flow passed along a path of agents, most of which asked their server, and every server that registered voided what all agents had denied. Now a balancer whose peers have all just started, or that searches 64 flows at once, queries all agents first. Each agent has the number of its latest change (added, replaced, answers again, can tell again); a denial holds for the agents up to a number, and only those beyond it are asked again, at the next round of pings and not after 300 ms. While servers register, the packet waits for their agents instead of visiting servers. A ping goes ahead of the first query to an agent, since it tells whether its table is complete. An agent that passes a new flow on, which it does not report, is pinged at the next round and no longer counts as silent. Up to 4,096 flows are searched.

internal/absence is unchanged.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// Agents returns the queried agents.
+func (c *QueryResult) Agents() []netip.AddrPort {
+	return c.agents
+}
+
 // Complete reports whether every agent has answered.
 func (c *QueryResult) Complete() bool {
 	return len(c.unanswered) == 0
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -10,7 +11,6 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/census"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
-	"github.com/bergamotgw/bergamotgw/internal/selection"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -28,8 +28,9 @@
 	// searchTimeout is how long a packet may take along the agents that answered Unknown.
 	searchTimeout = 500 * time.Millisecond
 	// maxSearchedFlows is the maximum number of flows that are searched, each with a packet of
-	// its caller.
-	maxSearchedFlows = 1024
+	// its caller: after a loss of power all flows of a balancer may be. With packets of 1,500
+	// bytes they take some 8 MB.
+	maxSearchedFlows = 4096
 	// searchRetention is how long a flow is searched after its latest packet.
 	searchRetention = 4 * time.Second
 	// retryInterval is the pause before the balancer repeats a search on its own, and
@@ -58,10 +59,15 @@
 	// doubt is the reason why the flow was not reset when that was last determined.
 	doubt absence.Doubt
 	// retries counts the searches that the balancer repeated on its own since the packet
-	// arrived.
-	retries int
+	// arrived. It does not count those of only the agents that have changed; repeated is true
+	// after either.
+	retries  int
+	repeated bool
 	// searching is true from the query until the search has ended or timed out.
 	searching bool
+	// undecided holds the agents to which the query in denied, or one before it, was sent and that
+	// have not denied the flow.
+	undecided []netip.AddrPort
 	// remaining holds the agents that answered Unknown and that the packet has still to visit;
 	// unknownPath is the attempt of the path along them while the packet is on it, else 0.
 	remaining   []netip.AddrPort
@@ -70,18 +76,6 @@
 	unknownPaths uint8
 }
 
-// queryTarget states when a query was sent, and to which agents.
-type queryTarget struct {
-	at      time.Time
-	scope   scope
-	holders selection.Holders
-}
-
-// recordDenied records that all agents that the latest query went to have denied the flow.
-func (f *searchedFlow) recordDenied() {
-	f.denied = f.queried
-}
-
 // flowQuery is a query that is open, with its result so far and the flows that it is about.
 type flowQuery struct {
 	*census.QueryResult
@@ -126,16 +120,12 @@
 		openSince: now, receivedAt: now, searchedAt: now,
 	}
 	if f != nil {
-		next.openSince, next.denied, next.doubt, next.unknownPaths = f.openSince, f.denied, f.doubt, f.unknownPaths
+		next.openSince, next.queried, next.denied, next.doubt, next.unknownPaths = f.openSince, f.queried, f.denied, f.doubt, f.unknownPaths
+		next.undecided = f.undecided
 	}
 	b.queries.byFlow[flow] = next
 }
 
-// denied reports whether all agents that answer have denied a flow. The caller holds the lock.
-func (b *Balancer) denied(f *searchedFlow, now time.Time) bool {
-	return now.Sub(f.denied.at) <= notHeldRetention && b.selection.AllListed(f.denied.holders)
-}
-
 // queryFlow queries the agents about a flow that is searched, unless they have denied it, together
 // with the other flows that become unknown until the next query is due.
 func (b *Balancer) queryFlow(flow packet.Flow) {
@@ -156,45 +146,66 @@
 	}
 }
 
-// sendQueries sends the queries about the pending flows. Flows of the same route share queries.
+// queryGroup is what flows that share a query have in common.
+type queryGroup struct {
+	route *catalog.Route
+	// denied is the result of deniedBase.
+	denied uint64
+}
+
+// sendQueries sends the queries about the pending flows. Flows of the same route that the same
+// agents have denied share queries.
 func (b *Balancer) sendQueries() {
 	now := b.config.Clock.Now()
 	b.mu.Lock()
 	q := &b.queries
 	pending := q.pending
 	q.pending, q.lastSentAt, q.pause = nil, now, queryInterval
+	all := b.allServices(now)
+	groups := lo.GroupBy(pending, func(f *searchedFlow) queryGroup {
+		return queryGroup{f.route, b.deniedBase(f, b.scope(f.route, 0, all, now), now)}
+	})
 	b.mu.Unlock()
-	for _, route := range lo.Uniq(lo.Map(pending, func(f *searchedFlow, _ int) *catalog.Route { return f.route })) {
-		flows := lo.Filter(pending, func(f *searchedFlow, _ int) bool { return f.route == route })
+	for group, flows := range groups {
 		for _, chunk := range lo.Chunk(flows, steer.MaxQueried) {
-			b.sendQuery(route, chunk, now)
+			b.sendQuery(group, chunk, now)
 		}
 	}
 }
 
-// sendQuery queries the agents that may hold flows of a route about some of them. Those of its
+// sendQuery queries the agents that may hold flows of a group about some of them. Those of its
 // services that do not answer pings receive copies of the packets instead.
-func (b *Balancer) sendQuery(route *catalog.Route, flows []*searchedFlow, now time.Time) {
+func (b *Balancer) sendQuery(group queryGroup, flows []*searchedFlow, now time.Time) {
 	b.mu.Lock()
 	q := &b.queries
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flows[0].flow)
-	s := b.scope(route, hash, b.allServices(now), now)
-	holders := b.selection.Holders(hash, s.services, s.all, now)
+	s := b.scope(group.route, hash, b.allServices(now), now)
+	denied := group.denied
+	if lo.SomeBy(flows, func(f *searchedFlow) bool { return b.deniedBase(f, s, now) != denied }) {
+		denied = 0
+	}
+	holders := b.selection.Holders(hash, s.services, s.all, denied, now)
 	q.lastID++
 	id := q.lastID
 	query := &flowQuery{
 		QueryResult: census.NewQueryResult(len(flows), holders.Agents, now), flows: flows,
 	}
 	for _, f := range flows {
-		f.queried, f.envelope.ListVersion = queryTarget{now, s, holders}, holders.ListVersion
+		f.queried, f.envelope.ListVersion = queryTarget{f.askedAt(denied, now), s, holders}, holders.ListVersion
+		if denied == 0 {
+			f.undecided = nil
+		}
 	}
 	q.open[id] = query
 	q.pause += time.Duration(len(holders.Agents)) * queriedAgentInterval
+	unnoticed := b.selection.NeverPinged(holders.Agents)
 	b.mu.Unlock()
 	b.counts.Queried.Add(uint64(len(flows)))
 	b.config.Log.Info("flowsAsked").Int("flows", len(flows)).Stringer("first", flows[0].flow).
-		Int("agents", len(holders.Agents)).Int("silentAgents", len(holders.Silent)).Send()
+		Int("agents", len(holders.Agents)).Int("silentAgents", len(holders.Silent)).Bool("changedOnly", denied > 0).Send()
+	// The ping tells an agent when its server has started: only then can it deny flows for certain.
+	b.ping(unnoticed, now)
 	var raw [steer.QueryMaxLen]byte
 	n := steer.PutQuery(raw[:], id, lo.Map(flows, func(f *searchedFlow, _ int) steer.QueriedFlow {
 		return steer.QueriedFlow{Flow: f.flow, Ack: f.packet.Ack, AckSeq: f.packet.AckSeq}
@@ -234,6 +245,9 @@
 		found = append(found, query.flows[n])
 		delete(b.queries.byFlow, query.flows[n].flow)
 	})
+	if slices.Contains(holdings, steer.Unknown) {
+		b.selection.RecordUnsure(from)
+	}
 	complete := query.Complete()
 	b.mu.Unlock()
 	for _, f := range found {
@@ -260,23 +274,26 @@
 	}
 	for n, f := range query.flows {
 		if !query.Found(n) {
-			b.endUnfound(f, query.PossibleHolders(n))
+			b.endUnfound(f, query.Agents(), query.PossibleHolders(n))
 		}
 	}
 }
 
-// endUnfound ends the query about a flow that no agent holds for certain. unknown are the agents
-// that have not denied it.
-func (b *Balancer) endUnfound(f *searchedFlow, unknown []netip.AddrPort) {
+// endUnfound ends the query about a flow that no agent holds for certain. Of the agents asked,
+// those in unknown have not denied it. Unless they are about to, the packet visits them.
+func (b *Balancer) endUnfound(f *searchedFlow, asked, unknown []netip.AddrPort) {
 	b.mu.Lock()
+	b.recordAnswers(f, asked, unknown)
+	unknown = f.undecided
 	f.remaining = unknown
-	retried, e := f.retries > 0, f.envelope
-	if len(unknown) == 0 {
-		f.searching = false
-		f.recordDenied()
+	retried, e := f.repeated, f.envelope
+	wait := len(unknown) > 0 && b.selection.Registering(b.config.Clock.Now())
+	if len(unknown) == 0 || wait {
+		f.searching, f.remaining = false, nil
 	}
 	b.mu.Unlock()
 	switch {
+	case wait:
 	case len(unknown) == 0:
 		b.recordNotHeld(steer.NotFoundNotice{Flow: f.flow, Searched: true, Attempt: e.Attempt, ListVersion: e.ListVersion})
 		b.resolve(f.flow)
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -157,8 +157,13 @@
 		case f.searching:
 		case b.judge(f, e):
 			proved[f] = e
+		case b.agentsChanged(f, r):
+			f.repeated = true
+			due = append(due, flow)
 		case f.dueForRetry(e, now):
+			f.denied = queryTarget{}
 			f.retries++
+			f.repeated = true
 			due = append(due, flow)
 		}
 	}
--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -12,6 +12,8 @@
 	Searches atomic.Uint64
 	// Queried counts flows about which the agents that may hold them were queried.
 	Queried atomic.Uint64
+	// QueriedFirst counts packets of unknown flows that visited no agent before a query.
+	QueriedFirst atomic.Uint64
 	// Returned counts packets that an agent without the flow returned.
 	Returned atomic.Uint64
 	// NotFound counts packets whose flow no agent holds or admits.
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -81,6 +81,7 @@
 type Balancer struct {
 	config    Config
 	transport Transport
+	started   time.Time
 	// front and back are nil in a balancer that was made with a transport of its own.
 	front *net.UDPConn
 	back  *net.UDPConn
@@ -159,6 +160,7 @@
 	b := &Balancer{
 		config:    c,
 		transport: w,
+		started:   c.Clock.Now(),
 		cache:     recent.NewMap[packet.Flow, cacheEntry](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Bounds, c.Clock.Now()),
 		routes:    routehistory.NewHistory(c.MaxFlow),
@@ -248,18 +250,25 @@
 	b.updateCutOff(now)
 	b.usedAgents.take(func(a netip.AddrPort) { b.selection.RecordUse(a, now) })
 	due := b.selection.DueForPing(now)
-	notices := lo.Map(due, func(a netip.AddrPort, _ int) steer.Notice { return b.notice(a, now) })
-	for _, a := range due {
+	b.mu.Unlock()
+	b.lostAgents.Store(&lostAgents)
+	b.ping(due, now)
+	b.maintainSearches(now)
+}
+
+// ping sends a ping to each of some agents. The caller does not hold the lock.
+func (b *Balancer) ping(agents []netip.AddrPort, now time.Time) {
+	b.mu.Lock()
+	notices := lo.Map(agents, func(a netip.AddrPort, _ int) steer.Notice { return b.notice(a, now) })
+	for _, a := range agents {
 		b.selection.RecordPing(a, now)
 	}
 	b.mu.Unlock()
-	b.lostAgents.Store(&lostAgents)
-	for i, a := range due {
+	for i, a := range agents {
 		var ping [steer.PingLen]byte
 		steer.PutPing(ping[:], notices[i])
 		b.Send(ping[:], a)
 	}
-	b.maintainSearches(now)
 }
 
 // notice returns what a ping tells an agent about its server. The caller holds the lock.
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -18,6 +18,12 @@
 	// notHeldRetention is how long an agent that did not hold a flow is not searched for it
 	// again; callers repeat a packet every 0.2 to 1.6 s.
 	notHeldRetention = 5 * time.Second
+	// queryFirstPeriod is how long after a common start of all balancers they query all agents
+	// without a search path before: callers repeat the packets of lost flows for 2 to 3 s.
+	queryFirstPeriod = 5 * time.Second
+	// manySearchedFlows is the number of flows from which on it does so at any time: they fill a
+	// query, which then costs each agent 17 bytes for a flow instead of a packet.
+	manySearchedFlows = steer.MaxQueried
 )
 
 // search searches for the agent of an unknown flow. The result of an earlier search stays valid
@@ -27,12 +33,28 @@
 		entry.searchedAt = time.Time{}
 	}
 	b.storePacket(buf, p, flow, route, entry.attempts)
-	if !b.searchLikely(buf, flow, route, entry) {
+	first := b.queriesFirst(flow)
+	if first {
+		b.counts.QueriedFirst.Add(1)
+	}
+	if first || !b.searchLikely(buf, flow, route, entry) {
 		b.queryFlow(flow)
 		b.resolve(flow)
 	}
 }
 
+// queriesFirst reports whether all agents that may hold a flow are queried at once, and its packet
+// visits none of them before: it is probably lost, together with others that share the query.
+func (b *Balancer) queriesFirst(flow packet.Flow) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.queries.byFlow[flow] == nil {
+		return false
+	}
+	justStarted := b.config.Clock.Since(b.started) < queryFirstPeriod
+	return justStarted && b.config.NoCorroboratedPeer() || len(b.queries.byFlow) >= manySearchedFlows
+}
+
 // searchLikely sends a packet of an unknown flow along the agents that probably hold it; if none
 // does, all that may hold it are queried afterwards. entry is the result of earlier searches. It returns
 // false if no agent is left to be searched.
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -49,6 +49,7 @@
 	m.counter("packets_cached_total", "Packets forwarded to the agent in the cache.", c.Cached.Load)
 	m.counter("flows_placed_total", "SYN packets of new flows sent to candidate agents.", c.Placed.Load)
 	m.counter("queried_flows_total", "Flows about which the agents that may hold them were queried.", c.Queried.Load)
+	m.counter("queried_first_total", "Packets of unknown flows that visited no agent before a query.", c.QueriedFirst.Load)
 	m.counter("searches_total", "Packets of unknown flows sent along a search path.", c.Searches.Load)
 	m.counter("packets_returned_total", "Packets returned by agents that do not hold their flow.", c.Returned.Load)
 	m.counter("flows_lost_total", "Packets whose flow no agent holds or admits.", c.NotFound.Load)
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -18,18 +18,23 @@
 	// Silent are agents of the given services that do not answer, at most
 	// steer.MaxCandidates.
 	Silent []steer.Candidate
-	// ListVersion is the version of the list of agents, and Recoveries how often one of them had
-	// answered again after it had been silent.
+	// ListVersion is the version of the list of agents, and Changes the number of the latest
+	// change of an agent.
 	ListVersion uint16
-	Recoveries  uint32
+	Changes     uint64
 }
 
 // Holders returns the agents of the services, and those of all others if it is unknown which may
-// hold a flow of the given hash. It records that they are searched.
-func (s *Selection) Holders(hash uint64, services []string, all bool, now time.Time) Holders {
-	h := Holders{ListVersion: s.listVersion, Recoveries: s.recoveries}
+// hold a flow of the given hash. It records that they are searched. If the agents up to the change
+// with the number denied have denied the flow, only those that have changed since are returned;
+// denied is 0 if none has.
+func (s *Selection) Holders(hash uint64, services []string, all bool, denied uint64, now time.Time) Holders {
+	h := Holders{ListVersion: s.listVersion, Changes: s.changes}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
+			if c.agent.deniedBy(denied) {
+				continue
+			}
 			s.recordSearch(c.agent, now)
 			if !c.agent.suspect(now) {
 				h.Agents = append(h.Agents, c.agent.Address)
@@ -43,7 +48,7 @@
 			continue
 		}
 		for _, a := range agents {
-			if s.foreign(a) {
+			if s.foreign(a) || a.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(a, now)
@@ -56,6 +61,37 @@
 	return h
 }
 
+// deniedBy reports whether the agent is among those that have denied a flow, up to the change with
+// the given number.
+func (a *Agent) deniedBy(denied uint64) bool {
+	return denied > 0 && a.changed <= denied
+}
+
+// OfServices returns those of the agents that are of the services, or all of them.
+func (s *Selection) OfServices(agents []netip.AddrPort, services []string, all bool) []netip.AddrPort {
+	return lo.Filter(agents, func(at netip.AddrPort, _ int) bool {
+		return all || lo.SomeBy(s.byAddress[at], func(a *Agent) bool { return slices.Contains(services, a.Server.Service) })
+	})
+}
+
+// NeverPinged returns those of the agents that have not been pinged yet.
+func (s *Selection) NeverPinged(agents []netip.AddrPort) []netip.AddrPort {
+	return lo.Filter(agents, func(at netip.AddrPort, _ int) bool {
+		return lo.SomeBy(s.byAddress[at], func(a *Agent) bool { return a.lastPingAt.IsZero() })
+	})
+}
+
+// registrationPeriod is how long after the first reading of the list servers may still register
+// that have started together with this balancer.
+const registrationPeriod = 600 * time.Millisecond
+
+// Registering reports whether servers that have started together with this balancer are about to
+// register: some have, and the list was first read a moment ago.
+func (s *Selection) Registering(now time.Time) bool {
+	return !s.listedAt.IsZero() && now.Sub(s.listedAt) < registrationPeriod &&
+		lo.SomeBy(lo.Values(s.agents), func(a *Agent) bool { return a.startedTogether && !s.foreign(a) })
+}
+
 // SilentMayHold reports whether an agent of the services, or any agent, does not answer although
 // its server may live and hold flows.
 func (s *Selection) SilentMayHold(services []string, all bool, now time.Time) bool {
@@ -64,10 +100,10 @@
 	})
 }
 
-// AllListed reports whether the agents that h lists, and those that were silent then, are all
-// agents that answer now.
+// AllListed reports whether the agents that h lists, those that have denied the flow before, and
+// those that were silent then are all agents that answer now.
 func (s *Selection) AllListed(h Holders) bool {
-	return h.ListVersion == s.listVersion && h.Recoveries == s.recoveries
+	return h.Changes == s.changes
 }
 
 // ordered returns the agents of a service in the order of a first search. The list is
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -88,6 +88,9 @@
 // setListed stores the entry of a listed server. A server that has restarted, or has
 // replaced another at its place, gets a new agent without reports.
 func (s *Selection) setListed(at place, v catalog.Server, now time.Time) {
+	if s.listedAt.IsZero() {
+		s.listedAt = now
+	}
 	a := s.agents[at]
 	if a == nil || a.Server.ID != v.ID || a.Server.Born != v.Born {
 		a = &Agent{Address: at.address, hash: s.ranker.Hash([]byte(at.address.String())), startedTogether: s.StartedTogether(v)}
@@ -95,6 +98,9 @@
 		s.agents[at], s.tracked[at] = a, a
 		a.Server = v
 		s.recordChange(a)
+		if !s.foreign(a) {
+			s.countChange(a)
+		}
 	}
 	a.Server, a.UnlistedSince = v, time.Time{}
 	a.WarmUntil = now.Add(v.Warmup)
@@ -108,6 +114,12 @@
 	}
 }
 
+// countChange records that the agent may hold flows that no agent has denied for it.
+func (s *Selection) countChange(a *Agent) {
+	s.changes++
+	a.changed = s.changes
+}
+
 // StartedTogether reports whether a server has started together with this balancer or later.
 func (s *Selection) StartedTogether(v catalog.Server) bool {
 	return v.Born >= s.started.Add(-maxStartSkew).UnixMilli()
@@ -131,6 +143,11 @@
 // service that no route names any longer.
 func (s *Selection) NameServices(names []string) {
 	for _, name := range names {
+		for _, a := range s.byService[name] {
+			if s.foreign(a) {
+				s.countChange(a)
+			}
+		}
 		s.named[name] = true
 	}
 }
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -86,6 +86,10 @@
 	UnlistedSince time.Time
 
 	hash uint64
+	// changed is the number of the latest change of the agent, as Selection.changes counts them.
+	changed uint64
+	// unsure is true after the agent could not tell whether its server holds a flow.
+	unsure bool
 	// recentlyStarted is true if the server had recently started when it was first
 	// listed: it was still warming up, or has started together with this balancer.
 	recentlyStarted bool
@@ -132,8 +136,9 @@
 	interruptedUntil time.Time
 	// epoch is that of the latest list of servers.
 	epoch uint64
-	// recoveries counts how often an agent has answered after it had been silent.
-	recoveries uint32
+	// changes counts how often an agent was added or replaced, has answered after it had been
+	// silent, or can tell which flows its server holds after it could not.
+	changes uint64
 	// listVersion is incremented whenever an agent is added, replaced or removed.
 	listVersion uint16
 	// unavailableSince holds, for each service without usable servers, since when it has
@@ -144,6 +149,8 @@
 	// near and far are scratch space for the agents of the own zone and of the others
 	// that are compared for a flow.
 	near, far topScored
+	// listedAt is when the first server was listed; zero before.
+	listedAt time.Time
 	// lastCutOffAt is when CutOff was last true.
 	lastCutOffAt time.Time
 }
@@ -181,13 +188,24 @@
 	for _, a := range s.byAddress[address] {
 		if a.suspect(now) || s.foreign(a) {
 			a.RecoveredAt = now
-			s.recoveries++
+			s.countChange(a)
+		}
+		if a.unsure && l.TableComplete {
+			a.unsure = false
+			s.countChange(a)
 		}
 		a.Load, a.LastReportAt, a.UnansweredSince, a.PlacedFlows = l, now, time.Time{}, 0
 		s.track(a)
 	}
 }
 
+// RecordUnsure records that an agent could not tell whether its server holds a flow.
+func (s *Selection) RecordUnsure(address netip.AddrPort) {
+	for _, a := range s.byAddress[address] {
+		a.unsure = true
+	}
+}
+
 // RecordPing records that a ping was sent to an agent, which answers it with a report.
 func (s *Selection) RecordPing(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -106,7 +106,7 @@
 	s.scored = s.scored[:0]
 	for _, a := range s.tracked {
 		age := now.Sub(a.LastReportAt)
-		if a.lastPingAt.IsZero() || a.suspect(now) || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod {
+		if a.lastPingAt.IsZero() || a.suspect(now) || a.unpinged() || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod {
 			s.scored = append(s.scored, scored{agent: a})
 		}
 	}
@@ -117,6 +117,12 @@
 	return lo.Uniq(lo.Map(s.scored[:min(len(s.scored), limit)], func(c scored, _ int) netip.AddrPort { return c.agent.Address }))
 }
 
+// unpinged reports whether a message to the agent is unanswered that was not a ping. An agent that
+// passes a new flow on does not answer it, and must not count as silent for that.
+func (a *Agent) unpinged() bool {
+	return a.UnansweredSince.After(a.lastPingAt)
+}
+
 // recordSearch records that an agent is searched for the holder of a flow.
 func (s *Selection) recordSearch(a *Agent, now time.Time) {
 	a.LastSearchedAt = now
