Do not count servers that are stated to have stopped as running

After a loss of power a balancer may rely on its list only if every listed server has just started. Entries of servers that were about to leave, and never started again, stay listed until they expire. Their agents state that they have stopped, so they say nothing about the others any more.

--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -122,15 +122,21 @@
 
 // AllRecentlyStarted reports whether every listed server had recently started when it was first
 // listed here, as after a power loss: flows that none of them holds are then older than the
-// servers.
+// servers. A server whose agent states that it has stopped does not count: its entry is about to
+// expire, and says nothing about when the others started.
 func (s *Selection) AllRecentlyStarted() bool {
-	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.recentlyStarted || s.foreign(a) })
+	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return a.recentlyStarted || !s.mayRun(a) })
 }
 
 // AllStartedTogether reports whether every listed server has started together with this balancer,
 // or later.
 func (s *Selection) AllStartedTogether() bool {
-	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return !a.UnlistedSince.IsZero() || a.startedTogether || s.foreign(a) })
+	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return a.startedTogether || !s.mayRun(a) })
+}
+
+// mayRun reports whether the server of an agent is listed and not known to have stopped.
+func (s *Selection) mayRun(a *Agent) bool {
+	return a.UnlistedSince.IsZero() && !a.serverStopped() && !s.foreign(a)
 }
 
 // fansOut reports whether an attempt addresses every agent directly instead of sending one
