Name the stopped server whenever no server ran since it started

Only an agent that leaves named it. The agent's probe at its start shows already that no server runs, so every server that started before has stopped. Balancers offer such a server no new flow.

--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -119,11 +119,9 @@
 		Failures:          a.failures.share(now),
 		ServiceTime:       a.service.Mean(),
 		Service:           a.config.Service,
+		StoppedServer:     uint32(a.stoppedServer()),
 		TableComplete:     a.tableComplete(now),
 	}
-	if a.serverStopped {
-		l.StoppedServer = uint32(a.noticed.born)
-	}
 	switch {
 	case a.leaving:
 		l.State = steer.Leaving
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -38,7 +38,7 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unansweredSince, a.serverStopped = time.Time{}, false
+	a.unansweredSince, a.noServerAt = time.Time{}, time.Time{}
 	a.logSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -119,9 +119,10 @@
 	leaving      bool
 	// noticed is what balancers have stated about the server.
 	noticed noticed
-	// serverStopped is true if no server ran after the latest packet of one: the listed one has
-	// stopped, also if a balancer names it only later.
-	serverStopped bool
+	// noServerAt is when no server ran, by the time of day: one that started before has stopped. It
+	// is zero if that is unknown, or after a packet of a server: the time of day may have been set
+	// back since.
+	noServerAt time.Time
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -250,16 +251,25 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.completeness.RecordServerDown()
+	a.noServerAt = a.config.Clock.Now()
 }
 
-// RecordServerStopped records that no server runs now and that none will start beside this agent,
-// and reports that to the balancers: the server that they list here holds no flow any more.
+// RecordServerStopped records that no server runs now, and reports that to the balancers: the
+// server that they list here holds no flow any more.
 func (a *Agent) RecordServerStopped() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.serverStopped = true
-	now := a.config.Clock.Now()
-	a.reportToSubscribers(a.load(now), now)
+	a.noServerAt = a.config.Clock.Now()
+	a.reportToSubscribers(a.load(a.noServerAt), a.noServerAt)
+}
+
+// stoppedServer returns the start of the server that balancers list here if it has stopped, as a
+// Unix time in milliseconds; 0 if it may run.
+func (a *Agent) stoppedServer() int64 {
+	if a.noServerAt.IsZero() || a.noticed.born >= a.noServerAt.UnixMilli() {
+		return 0
+	}
+	return a.noticed.born
 }
 
 // tableComplete reports whether the table holds every open flow of the server.
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -41,20 +41,28 @@
 	}
 }
 
-// TestStoppedServer guards against a report that still names a stopped server although one runs
-// again: balancers would no longer wait for its answer about their flows.
+// TestStoppedServer guards against a report that names a server as stopped which may run: balancers
+// would no longer wait for its answer about their flows.
 func TestStoppedServer(t *testing.T) {
 	a := newBenchAgent()
-	a.RecordServerStopped()
-	if got := a.Load().StoppedServer; got != 0 {
-		t.Errorf("stopped server %d before a balancer has named it, want none", got)
+	now := a.config.Clock.Now()
+	expect := func(when string, want int64) {
+		t.Helper()
+		if got := a.Load().StoppedServer; got != uint32(want) {
+			t.Errorf("%s: stopped server %d, want %d", when, got, uint32(want))
+		}
 	}
-	a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: 1_800_000_000_123}, a.config.Clock.Now())
-	if got, want := a.Load().StoppedServer, uint32(1_800_000_000_123&0xffffffff); got != want {
-		t.Errorf("stopped server %d, want %d", got, want)
+	notice := func(born time.Time) {
+		a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: born.UnixMilli()}, now)
 	}
+	a.RecordServerDown()
+	expect("before a balancer has named a server", 0)
+	former := now.Add(-time.Minute)
+	notice(former)
+	expect("server of before the loss of power", former.UnixMilli())
+	notice(now.Add(time.Second))
+	expect("server that started since", 0)
+	notice(former)
 	a.open(1)
-	if got := a.Load().StoppedServer; got != 0 {
-		t.Errorf("stopped server %d after a packet of it, want none", got)
-	}
+	expect("after a packet of a server", 0)
 }
