--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -38,12 +38,13 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unansweredSince, a.noServerAt = time.Time{}, time.Time{}
+	a.unansweredSince = time.Time{}
 	a.logSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
 		return
 	}
+	a.noServerAt = time.Time{}
 	flow := p.FlowFromServer()
 	a.handleAnswer(flow, p, now)
 	a.sendToCaller(raw, flow)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -120,8 +120,8 @@
 	// noticed is what balancers have stated about the server.
 	noticed noticed
 	// noServerAt is when no server ran, by the time of day: one that started before has stopped. It
-	// is zero if that is unknown, or after a packet of a server: the time of day may have been set
-	// back since.
+	// is zero if that is unknown, or after a packet of a server on a flow: the time of day may have
+	// been set back since. What the server only bounces shows that it holds no flow.
 	noServerAt time.Time
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
