Let three balancers call a silent platform often after a start

26 balancers that started together all called the platform at once, waited 1 s for an answer, and called again half a second later, so that none had routes for 1 s and more after it was back. Until its catalog is complete, only the first three in the order of readers now call, one of them each 150 ms, with a limit of 300 ms for most calls; the others call when the change bound requires it. The order rests on the balancers that settings and digests name, heard or not; digests name the first readers, and the first digest of another is answered while both start. One that has heard none waits 300 ms and then calls each second. A first catalog is announced by digests at once, also one that was fetched.

The fleet of its tests takes any number of seeds and any source; its tests are otherwise unchanged.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -99,6 +99,9 @@
 	fetching map[netip.AddrPort]time.Time
 	// fetchedAt is when a replica last started to fetch, or was started itself.
 	fetchedAt time.Time
+	// attemptedAt is when the latest attempt to read the platform began, and attempts their number.
+	attemptedAt time.Time
+	attempts    int
 	// failedSince is the time of the first failed read in a row; zero after a success.
 	failedSince time.Time
 	// refusing is true from the first refused list of servers to the next applied one.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -100,6 +100,10 @@
 	// digests and lists state none, and the digests that they receive from others offer
 	// them no list.
 	older map[netip.AddrPort]bool
+	// seeds is the number of balancers that the settings name, the first of them; source returns
+	// the platform for a balancer.
+	seeds  int
+	source func(self netip.Addr) Source
 }
 
 // withoutEpoch returns a source whose lists state no epoch.
@@ -135,7 +139,8 @@
 	}
 	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
 	_ = l.Close()
-	return &fleet{t: t, store: &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}, port: port, all: make(map[netip.AddrPort]*Directory), cut: make(map[netip.AddrPort]bool), older: make(map[netip.AddrPort]bool)}
+	s := &store{refused: make(map[netip.Addr]bool), address: netip.MustParseAddr("10.0.0.1")}
+	return &fleet{t: t, store: s, port: port, all: make(map[netip.AddrPort]*Directory), cut: make(map[netip.AddrPort]bool), older: make(map[netip.AddrPort]bool), seeds: 1, source: s.source}
 }
 
 // start runs a directory on 127.0.0.n until the test ends.
@@ -146,9 +151,18 @@
 
 // run runs a directory on 127.0.0.n until the test ends or stop is called.
 func (f *fleet) run(n byte, replica bool) (d *Directory, stop func()) {
-	ip := netip.AddrFrom4([4]byte{127, 0, 0, n})
+	return f.runAt(numbered(int(n)), replica)
+}
+
+// numbered returns the address of the balancer with a number.
+func numbered(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)})
+}
+
+// runAt runs a directory on an address until the test ends or stop is called.
+func (f *fleet) runAt(ip netip.Addr, replica bool) (d *Directory, stop func()) {
 	self := netip.AddrPortFrom(ip, 7000)
-	source := f.store.source(ip)
+	source := f.source(ip)
 	if f.older[self] {
 		source = source.withoutEpoch()
 	}
@@ -160,7 +174,7 @@
 		ReplicaPort: f.port,
 		Replica:     replica,
 		Zone:        "a",
-		Seeds:       []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 0, 1})},
+		Seeds:       lo.Times(f.seeds, func(i int) netip.Addr { return numbered(i + 1) }),
 		Bounds:      bounds.Default(),
 		Source:      source,
 		Send: func(b []byte, to netip.AddrPort) {
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -79,14 +79,17 @@
 }
 
 func (d *Directory) sendDigests() {
+	d.sendDigestTo(append(d.targets(), d.replicas()...)...)
+}
+
+func (d *Directory) sendDigestTo(targets ...netip.AddrPort) {
 	f := d.freshness()
 	if f.Revision == 0 {
 		f.Age = memberRetention
 	}
-	targets := d.targets()
 	var b [steer.DigestMaxLen]byte
-	n := steer.PutDigest(b[:], f, lo.Samples(lo.Keys(d.staying()), steer.MaxMembers))
-	for _, t := range append(targets, d.replicas()...) {
+	n := steer.PutDigest(b[:], f, d.named())
+	for _, t := range targets {
 		d.config.Send(b[:n], t)
 	}
 }
@@ -124,6 +127,10 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.members[from].lastReceived.IsZero() && !d.catalog.Load().Complete() && !d.config.Replica {
+		// Both have started together and need to know the order of readers.
+		go d.sendDigestTo(from)
+	}
 	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing}
 	if d.config.Replica {
 		members = nil
@@ -205,7 +212,12 @@
 		return
 	}
 	d.counts.Fetches.Add(1)
+	first := !d.Catalog().Complete()
 	d.applyResult(r, base, requestedAt, from.String())
+	if first && d.Catalog().Complete() && !d.config.Replica {
+		// Others that have just started wait for a catalog, too.
+		d.sendDigests()
+	}
 	d.addExpired(r.Expired)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -8,6 +8,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/samber/lo"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
 )
 
 // Timing of the reads.
@@ -43,8 +45,11 @@
 			d.sleep(ctx, wait)
 			continue
 		}
-		err := d.read(ctx)
+		err := d.attempt(ctx)
 		d.recordRead(err)
+		if err != nil && !d.Catalog().Complete() {
+			continue
+		}
 		if err != nil {
 			d.sleep(ctx, pause)
 			pause = d.nextPause(pause)
@@ -66,12 +71,13 @@
 }
 
 // read reads the routes, except right after the start, and the servers. It returns an error if
-// a call fails, or if the platform answers with an older state than before.
-func (d *Directory) read(ctx context.Context) error {
+// a call fails, or if the platform answers with an older state than before. limit is the longest
+// time that a call may take; 0 for the usual one.
+func (d *Directory) read(ctx context.Context, limit time.Duration) error {
 	requestedAt := d.config.Clock.Now()
-	if !d.starting() {
+	if !d.starting() || d.Catalog().Routes.Version == 0 {
 		d.counts.Reads.Add(1)
-		routes, err := d.config.Source.Routes(ctx)
+		routes, err := limitCall(ctx, limit, d.config.Source.Routes)
 		if err != nil {
 			return err
 		}
@@ -79,7 +85,11 @@
 	}
 	d.counts.Reads.Add(1)
 	former := d.catalog.Load().Servers.Position
-	servers, faults, err := d.config.Source.Servers(ctx)
+	var faults []error
+	servers, err := limitCall(ctx, limit, func(ctx context.Context) (list catalog.Servers, err error) {
+		list, faults, err = d.config.Source.Servers(ctx)
+		return list, err
+	})
 	if err != nil {
 		return err
 	}
@@ -95,6 +105,9 @@
 // untilDue returns the time until this balancer must read the platform; 0 or less if it
 // must read now.
 func (d *Directory) untilDue() time.Duration {
+	if !d.Catalog().Complete() {
+		return min(d.startReader().Due().Sub(d.config.Clock.Now()), startPollInterval)
+	}
 	delay := d.readDelay(d.rank(member.reads))
 	d.mu.Lock()
 	defer d.mu.Unlock()
