--- a/internal/directory/start_test.go
+++ b/internal/directory/start_test.go
@@ -36,9 +36,9 @@
 		return errors.New("no answer")
 	}
 	return Source{
-		Routes: func(ctx context.Context) (catalog.Routes, error) {
+		Routes: func(ctx context.Context) (catalog.Operator, error) {
 			if err := wait(ctx); err != nil {
-				return catalog.Routes{}, err
+				return catalog.Operator{}, err
 			}
 			return source.Routes(ctx)
 		},
