Read the platform on demand for flows that are lost

A lost flow is reset only after a reading of the list that began after its first packet, the regular one comes each 0.7 s, and 150 ms are added for what digests may state too late. A balancer now requests a reading from the first reader, which reads at most each 80 ms, 100 times in a row and then once a second, whatever the number of balancers, and replies to all requests that came before. The request was sent by the own clock, so nothing is added.

--- a/internal/absence/absence.go
+++ b/internal/absence/absence.go
@@ -17,6 +17,9 @@
 	OpenSince time.Time
 	// ListReadAt is when the list of the queried agents was read from the platform.
 	ListReadAt time.Time
+	// ListReadSince is a time by this balancer's own clock after which that reading began for
+	// certain: it has made the reading itself then, or requested it; zero if there is none.
+	ListReadSince time.Time
 	// ListConfirmed is true if the list, together with the entries that expired recently, holds
 	// every server that ran at ListReadAt.
 	ListConfirmed bool
@@ -60,9 +63,18 @@
 		return UnconfirmedList
 	case e.Interrupted:
 		return InterruptedList
-	case e.OpenSince.IsZero() || !e.ListReadAt.After(e.OpenSince.Add(ReadingDelay)):
+	case !e.listYounger():
 		return StaleList
 	default:
 		return None
 	}
 }
+
+// listYounger reports whether the list was read after the first packet arrived. A time that other
+// balancers have stated may seem up to ReadingDelay too late; one of the own clock is exact.
+func (e Evidence) listYounger() bool {
+	if e.OpenSince.IsZero() {
+		return false
+	}
+	return e.ListReadAt.After(e.OpenSince.Add(ReadingDelay)) || e.ListReadSince.After(e.OpenSince)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -56,6 +56,8 @@
 	// Changed is called after every change of the catalog, with the servers whose
 	// entries have recently expired.
 	Changed func(c *catalog.Catalog, expired []Expired)
+	// Confirmed is called after a reading that was requested has confirmed the catalog, or changed it.
+	Confirmed func()
 	// Clock measures time.
 	Clock clockwork.Clock
 	// Log receives the events.
@@ -96,6 +98,11 @@
 	// latest time at which they were read.
 	passedSum uint64
 	passedAt  time.Time
+	// exactAt is the latest time of this balancer's own clock after which the catalog in force was
+	// read for certain, and passedExactAt that of the servers that were last passed to Changed.
+	exactAt, passedExactAt time.Time
+	// demand is the state of readings out of turn.
+	demand demand
 	// history holds former catalogs that other directories may still have.
 	history history
 	// members holds the other balancers; the zero member for those that only the digests or
@@ -153,6 +160,9 @@
 	Ignored atomic.Uint64
 	// Refused counts lists of servers that were older than the list in force.
 	Refused atomic.Uint64
+	// ReadingsRequested counts requests of this balancer for a reading out of turn, and
+	// ReadingsOnDemand the readings that it made at such requests.
+	ReadingsRequested, ReadingsOnDemand atomic.Uint64
 }
 
 // NewDirectory returns a directory with an empty catalog.
@@ -165,6 +175,7 @@
 		fetching: make(map[netip.AddrPort]time.Time),
 		ignored:  newIgnored(),
 		expired:  make(map[string]Expired),
+		demand:   newDemand(),
 	}
 	d.fetchedAt = d.started
 	d.catalog.Store(catalog.NewCatalog())
@@ -247,7 +258,7 @@
 // holds the lock.
 func (d *Directory) recordPassed() {
 	if d.sum == d.passedSum {
-		d.passedAt = d.readAt
+		d.passedAt, d.passedExactAt = d.readAt, d.exactAt
 	}
 }
 
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -42,11 +42,18 @@
 	pause := retryInterval
 	for ctx.Err() == nil {
 		if wait := d.untilDue(); wait > 0 {
-			d.sleep(ctx, wait)
+			d.sleepUntilRequested(ctx, wait)
 			continue
 		}
-		err := d.attempt(ctx)
+		waiting, own := d.takeRequests()
+		err := d.attempt(ctx, len(waiting) > 0 || own)
 		d.recordRead(err)
+		if err == nil {
+			d.confirmReading(waiting)
+		}
+		if err == nil && own {
+			d.config.Confirmed()
+		}
 		if err != nil && !d.Catalog().Complete() {
 			continue
 		}
@@ -70,12 +77,14 @@
 	return min(2*pause, d.config.Bounds.MaxReadingAge())
 }
 
-// read reads the routes, except right after the start, and the servers. It returns an error if
+// read reads the routes, except right after the start unless the reading is requested, and the
+// servers. It returns an error if
 // a call fails, or if the platform answers with an older state than before. limit is the longest
 // time that a call may take; 0 for the usual one.
-func (d *Directory) read(ctx context.Context, limit time.Duration) error {
+func (d *Directory) read(ctx context.Context, limit time.Duration, requested bool) error {
 	requestedAt := d.config.Clock.Now()
-	if !d.starting() || d.Catalog().Routes.Version == 0 {
+	withRoutes := requested || !d.starting() || d.Catalog().Routes.Version == 0
+	if withRoutes {
 		d.counts.Reads.Add(1)
 		read, err := limitCall(ctx, limit, d.config.Source.Routes)
 		if read.Evacuations.Known() {
@@ -103,6 +112,11 @@
 		return merry.Errorf("the platform answered with revision %d of epoch %d, which is before %d of epoch %d",
 			servers.Revision, servers.Epoch, former.Revision, former.Epoch)
 	}
+	if withRoutes {
+		d.mu.Lock()
+		d.recordExact(requestedAt)
+		d.mu.Unlock()
+	}
 	return nil
 }
 
@@ -122,7 +136,11 @@
 	if d.startingLocked() {
 		interval = startReadInterval
 	}
-	return d.readAt.Add(interval + delay).Sub(d.config.Clock.Now())
+	due := d.readAt.Add(interval + delay)
+	if onDemand := d.demand.reader.Due(); d.demand.requested() && onDemand.Before(due) {
+		due = onDemand
+	}
+	return due.Sub(d.config.Clock.Now())
 }
 
 // readDelay returns how much later than the first one the balancer of a rank reads, out of count
--- a/internal/directory/start.go
+++ b/internal/directory/start.go
@@ -58,8 +58,8 @@
 	return append(all[:first:first], lo.Samples(all[first:], steer.MaxMembers-startread.Readers)...)
 }
 
-// attempt reads the platform. Until the catalog is complete, most attempts have a short limit.
-func (d *Directory) attempt(ctx context.Context) error {
+// attempt reads the platform; requested is true if balancers have requested the reading. Until the catalog is complete, most attempts have a short limit.
+func (d *Directory) attempt(ctx context.Context, requested bool) error {
 	var limit time.Duration
 	if !d.Catalog().Complete() {
 		limit = d.startReader().Limit()
@@ -68,7 +68,7 @@
 	d.attemptedAt = d.config.Clock.Now()
 	d.attempts++
 	d.mu.Unlock()
-	return d.read(ctx, limit)
+	return d.read(ctx, limit, requested)
 }
 
 // limitCall calls the platform. limit is the longest time that the call may take; 0 for no limit of
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -55,6 +55,7 @@
 		now: now, catalog: b.config.Catalog(), all: b.allServices(now), silent: make(map[netip.AddrPort]bool),
 		common: absence.Evidence{
 			ListReadAt:    r.at,
+			ListReadSince: r.since,
 			ListConfirmed: r.corroborated || r.noCorroboratedPeer && b.selection.AllRecentlyStarted(),
 			Interrupted:   b.selection.Interrupted(),
 		},
@@ -63,13 +64,13 @@
 
 // reading is the state of the list of servers.
 type reading struct {
-	at                               time.Time
+	at, since                        time.Time
 	corroborated, noCorroboratedPeer bool
 }
 
 // reading returns the state of the list of servers. The caller does not hold the lock.
 func (b *Balancer) reading() reading {
-	return reading{b.config.ReadAt(), b.config.Corroborated(), b.config.NoCorroboratedPeer()}
+	return reading{b.config.ReadAt(), b.config.ReadSince(), b.config.Corroborated(), b.config.NoCorroboratedPeer()}
 }
 
 // evidence returns the evidence about a flow that is searched. The route that is in force counts,
@@ -107,6 +108,8 @@
 	b.mu.Unlock()
 	if proved {
 		b.resetNotHeld(f, e)
+	} else if e.Doubt() == absence.StaleList {
+		b.config.RequestReading()
 	}
 }
 
@@ -138,10 +141,16 @@
 	b.reset(f.flow, f.packet.AckSeq)
 }
 
+// ReviewSearches judges the flows that are searched after a reading that was requested.
+func (b *Balancer) ReviewSearches() {
+	b.reviewSearches(b.config.Clock.Now())
+}
+
 // reviewSearches judges the flows that are searched by the present evidence, and repeats the
 // search for those about which a further one can prove something.
 func (b *Balancer) reviewSearches(now time.Time) {
 	reading := b.reading()
+	stale := false
 	var due []packet.Flow
 	proved := make(map[*searchedFlow]absence.Evidence)
 	b.mu.Lock()
@@ -151,6 +160,7 @@
 			f.searching, f.unknownPath = false, 0
 		}
 		e := b.evidence(f, r)
+		stale = stale || e.Doubt() == absence.StaleList
 		switch {
 		case now.Sub(f.receivedAt) >= searchRetention:
 			delete(b.queries.byFlow, flow)
@@ -168,6 +178,9 @@
 		}
 	}
 	b.mu.Unlock()
+	if stale {
+		b.config.RequestReading()
+	}
 	for f, e := range proved {
 		b.resetNotHeld(f, e)
 	}
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -188,7 +188,7 @@
 		b.handleNotFound(raw)
 	case ok && kind == steer.Answer:
 		b.handleAnswer(raw, from)
-	case ok && kind == steer.Digest:
+	case ok && (kind == steer.Digest || kind == steer.ReadingRequest || kind == steer.ReadingDone):
 		b.config.Digest(ctx, raw, from)
 	default:
 		b.counts.Malformed.Add(1)
--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -40,6 +40,7 @@
 		MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true },
 		NoCorroboratedPeer: func() bool { return false }, ReadAt: clock.Now,
+		ReadSince: func() time.Time { return time.Time{} }, RequestReading: func() {},
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}, Transport{
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -69,7 +69,11 @@
 	// ReadAt returns when the list of servers was read from the platform, by this balancer or
 	// another one.
 	ReadAt func() time.Time
-	// Digest handles digests of other balancers.
+	// ReadSince returns a time of the own clock after which the routes and servers were read for
+	// certain, and RequestReading requests a later reading.
+	ReadSince      func() time.Time
+	RequestReading func()
+	// Digest handles digests of other balancers, and their requests for readings.
 	Digest func(ctx context.Context, raw []byte, from netip.AddrPort)
 	// Clock measures time.
 	Clock clockwork.Clock
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -69,8 +69,9 @@
 				b.dataPlane.Expire(l.Server, l.Since)
 			}
 		},
-		Clock: b.clock,
-		Log:   l,
+		Confirmed: func() { b.dataPlane.ReviewSearches() },
+		Clock:     b.clock,
+		Log:       l,
 	})
 	var err error
 	b.dataPlane, err = packetbalancer.NewBalancer(packetbalancer.Config{
@@ -85,7 +86,9 @@
 		Corroborated:       b.directory.Corroborated,
 		NoCorroboratedPeer: b.directory.NoCorroboratedPeer,
 		ReadAt:             b.directory.ReadAt,
-		Digest:             b.directory.HandleDigest,
+		ReadSince:          b.directory.ReadSince,
+		RequestReading:     b.directory.RequestReading,
+		Digest:             b.directory.HandleDatagram,
 		Clock:              b.clock,
 		Log:                l,
 	})
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -33,6 +33,10 @@
 	// Query requests from an agent which of some flows it holds; Answer is the reply.
 	Query
 	Answer
+	// ReadingRequest requests a reading of the platform from another balancer; ReadingDone is the
+	// reply after one that began later.
+	ReadingRequest
+	ReadingDone
 )
 
 // Limits of an envelope; lengths are in bytes.
@@ -229,7 +233,7 @@
 
 // KindOf returns the kind of a datagram; false if it is none of this protocol.
 func KindOf(b []byte) (Kind, bool) {
-	if len(b) < 2 || b[0] != magic || b[kindOffset] < byte(Forward) || b[kindOffset] > byte(Answer) {
+	if len(b) < 2 || b[0] != magic || b[kindOffset] < byte(Forward) || b[kindOffset] > byte(ReadingDone) {
 		return 0, false
 	}
 	return Kind(b[kindOffset]), true
