--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -283,6 +283,7 @@
 // those in unknown have not denied it. Unless they are about to, the packet visits them.
 func (b *Balancer) endUnfound(f *searchedFlow, asked, unknown []netip.AddrPort) {
 	b.mu.Lock()
+	unknown = b.selection.WithoutStopped(unknown)
 	b.recordAnswers(f, asked, unknown)
 	unknown = f.undecided
 	f.remaining = unknown
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -18,9 +18,10 @@
 	// notHeldRetention is how long an agent that did not hold a flow is not searched for it
 	// again; callers repeat a packet every 0.2 to 1.6 s.
 	notHeldRetention = 5 * time.Second
-	// queryFirstPeriod is how long after a common start of all balancers they query all agents
-	// without a search path before: callers repeat the packets of lost flows for 2 to 3 s.
-	queryFirstPeriod = 5 * time.Second
+	// queryFirstPeriod is how long after a common start of all balancers and servers they query all
+	// agents without a search path before: callers repeat the packets of lost flows for 2 to 3 s,
+	// and use others that were idle within some ten seconds.
+	queryFirstPeriod = 15 * time.Second
 	// manySearchedFlows is the number of flows from which on it does so at any time: they fill a
 	// query, which then costs each agent 17 bytes for a flow instead of a packet.
 	manySearchedFlows = steer.MaxQueried
@@ -51,8 +52,10 @@
 	if b.queries.byFlow[flow] == nil {
 		return false
 	}
-	justStarted := b.config.Clock.Since(b.started) < queryFirstPeriod
-	return justStarted && b.config.NoCorroboratedPeer() || len(b.queries.byFlow) >= manySearchedFlows
+	if b.config.Clock.Since(b.started) < queryFirstPeriod && (b.config.NoCorroboratedPeer() || b.selection.AllRecentlyStarted()) {
+		return true
+	}
+	return len(b.queries.byFlow) >= manySearchedFlows
 }
 
 // searchLikely sends a packet of an unknown flow along the agents that probably hold it; if none
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -35,6 +35,9 @@
 			if c.agent.deniedBy(denied) {
 				continue
 			}
+			if c.agent.serverStopped() {
+				continue
+			}
 			s.recordSearch(c.agent, now)
 			if !c.agent.suspect(now) {
 				h.Agents = append(h.Agents, c.agent.Address)
@@ -48,7 +51,7 @@
 			continue
 		}
 		for _, a := range agents {
-			if s.foreign(a) || a.deniedBy(denied) {
+			if s.foreign(a) || a.serverStopped() || a.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(a, now)
@@ -61,6 +64,13 @@
 	return h
 }
 
+// WithoutStopped returns those of the agents that have not stated that their server has stopped.
+func (s *Selection) WithoutStopped(agents []netip.AddrPort) []netip.AddrPort {
+	return lo.Reject(agents, func(at netip.AddrPort, _ int) bool {
+		return len(s.byAddress[at]) > 0 && lo.EveryBy(s.byAddress[at], (*Agent).serverStopped)
+	})
+}
+
 // deniedBy reports whether the agent is among those that have denied a flow, up to the change with
 // the given number.
 func (a *Agent) deniedBy(denied uint64) bool {
