--- a/internal/packetagent/evacuation.go
+++ b/internal/packetagent/evacuation.go
@@ -62,7 +62,7 @@
 		a.sendNotFound(e, flow, false)
 	default:
 		a.counts.Refused.Add(1)
-		a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "evacuated").Send()
+		a.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("reason", "evacuated").Send()
 		a.reset(flow, p.AckSeq)
 	}
 }
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -313,7 +313,7 @@
 		return
 	}
 	a.counts.Refused.Add(1)
-	a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "overload").
+	a.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("reason", "overload").
 		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
 	a.reset(flow, p.AckSeq)
 }
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -145,7 +145,7 @@
 
 func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service, reason string) {
 	b.counts.Refused.Add(1)
-	b.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", reason).
+	b.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", reason).
 		Dur("platformAge", b.config.Clock.Since(b.config.ReadAt())).Send()
 	b.reset(flow, p.AckSeq)
 }
