Evacuate availability zones for QUIC flows

An operator could keep new work away from a zone only by weights of 0, which agents do not enforce, or by listing the VMs as leaving, which ends the agents and moves their callers. A section may now name evacuate, a list of zones.

Balancers leave endpoints of these zones out of the candidates, so that a service without other endpoints refuses new flows (noAgent). Agents there report draining, as while their backend server wants no new work: they admit no flows, sessions and requests of peers, and hand the requests of open flows to peers. Only if no peer accepts work does the own server run these. The ring of peers spreads evacuated agents among the others while a section evacuates zones, since the addresses of a zone often follow each other.

--- a/agent.go
+++ b/agent.go
@@ -72,6 +72,7 @@
 		VM:           s.Name,
 	}
 	a.node.Port.Handle(peerport.Handover, handovers.Serve)
+	metrics.RegisterEvacuated(a.node.Registry, a.evacuated)
 	metrics.RegisterRelay(a.node.Registry, a.agent.RelayCounts(), a.agent.Flows)
 	return a, nil
 }
@@ -178,17 +179,24 @@
 func (a *Agent) apply(ctx context.Context, l *ledger.Ledger) {
 	if s, ok := l.Section(a.settings.Service); ok {
 		a.agent.SetSection(s)
-		a.peers.SetPeers(ctx, lo.Map(s.Endpoints, func(e section.Endpoint, _ int) netip.AddrPort { return e.Agent }))
+		a.peers.SetPeers(ctx, lo.Map(s.Endpoints, func(e section.Endpoint, _ int) netip.AddrPort { return e.Agent }),
+			lo.SliceToMap(s.Endpoints, func(e section.Endpoint) (netip.AddrPort, bool) { return e.Agent, s.Evacuates(e.Zone) }))
 	}
 	if v, ok := l.VM(a.settings.Name); ok && v.State == vm.Leaving {
 		a.agent.Drain()
 	}
 }
 
+// evacuated returns 1 if the agent is in an evacuated zone, else 0.
+func (a *Agent) evacuated() int {
+	return lo.Ternary(a.agent.Evacuated(), 1, 0)
+}
+
 func (a *Agent) counters() []status.Counter {
 	c := a.agent.RelayCounts()
 	list := []status.Counter{
 		{Name: "flows", Value: uint64(a.agent.Flows())},
+		{Name: "evacuatedEndpoints", Value: uint64(a.evacuated())},
 		{Name: "drop.wrongService", Value: c.WrongService.Load()},
 		{Name: "drop.foreign", Value: c.Foreign.Load()},
 		{Name: "drop.malformed", Value: c.Malformed.Load()},
--- a/balancer.go
+++ b/balancer.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/balancer"
 	"github.com/bergamotgw/bergamotgw/internal/connid"
+	"github.com/bergamotgw/bergamotgw/internal/entry"
 	"github.com/bergamotgw/bergamotgw/internal/ledger"
 	"github.com/bergamotgw/bergamotgw/internal/metrics"
 	"github.com/bergamotgw/bergamotgw/internal/node"
@@ -38,6 +39,8 @@
 	forwarder *balancer.Balancer
 	node      *node.Node
 	drain     drainFlag
+	// evacuation logs evacuations; only apply uses it.
+	evacuation evacuationLog
 }
 
 // NewBalancer returns a balancer with open sockets. It returns an error if a secret cannot be
@@ -77,6 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics.RegisterEvacuated(b.node.Registry, b.forwarder.Evacuated)
 	metrics.RegisterBalancer(b.node.Registry, b.forwarder)
 	return b, nil
 }
@@ -114,6 +118,7 @@
 func (b *Balancer) apply(l *ledger.Ledger) {
 	t := routes.NewTable(l, b.ranker)
 	b.forwarder.SetTable(t)
+	b.evacuation.record(b.log, l.List(entry.SectionPrefix), b.clock.Now())
 	b.log.Debug().Str("event", "routesChanged").Int("addresses", t.Addresses()).Send()
 }
 
@@ -123,6 +128,7 @@
 		{Name: "establishedDatagrams", Value: c.Established.Load()},
 		{Name: "newFlowDatagrams", Value: c.NewFlow.Load()},
 		{Name: "answerDatagrams", Value: c.Answers.Load()},
+		{Name: "evacuatedEndpoints", Value: uint64(b.forwarder.Evacuated())},
 	}
 	return append(list, lo.Map(balancer.DropReasons(), func(r balancer.Reason, _ int) status.Counter {
 		return status.Counter{Name: "drop." + r.String(), Value: b.forwarder.Drops(r)}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,8 @@
 	endpoint section.Endpoint
 	// listed is true while the section lists the agent.
 	listed bool
+	// evacuated is true while the section evacuates the zone of the endpoint.
+	evacuated bool
 	// drainStarted is closed when the agent starts to drain.
 	drainStarted chan struct{}
 	// drainingSince is the start of the drain; zero before it.
@@ -182,11 +184,17 @@
 func (a *Agent) SetSection(s section.Section) {
 	e, listed := s.Endpoint(a.config.Listen)
 	a.mu.Lock()
+	before := a.evacuated
 	a.section, a.endpoint, a.listed = s, e, listed
+	a.evacuated = listed && s.Evacuates(e.Zone)
+	changed := before != a.evacuated
 	a.mu.Unlock()
 	if listed {
 		a.limiter.SetLimits(e.Slots, e.Slots*s.Limits.Queue())
 	}
+	if changed {
+		a.evacuationChanged(s, e.Zone)
+	}
 }
 
 // admitFlow reports whether the agent accepts a new flow. The last candidate
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -74,13 +74,18 @@
 	return &execution{upstream: c, vm: a.config.VM, release: a.work.releaseSession}, ""
 }
 
-// candidates returns the candidates for a request in order of preference.
+// candidates returns the candidates for a request in order of preference. In an evacuated
+// zone the local backend server is one only if no peer accepts work.
 func (a *Agent) candidates(kind request.Kind) []placement.Candidate {
 	v := placement.View{Kind: kind, Candidates: []placement.Candidate{{Load: a.Report(), Local: true, Demand: a.usage.demand()}}}
 	for _, l := range a.config.PeerLoads() {
 		v.Candidates = append(v.Candidates, placement.Candidate{Load: l})
 	}
-	return a.config.Policy.Order(v)
+	list := a.config.Policy.Order(v)
+	if len(list) == 0 && a.mayServeOwn() {
+		return v.Candidates[:1]
+	}
+	return list
 }
 
 // placeNow takes the first free slot without waiting. It skips candidates whose
--- a/internal/agent/queries.go
+++ b/internal/agent/queries.go
@@ -11,9 +11,17 @@
 )
 
 // State returns load.Draining while the agent drains, is not listed in its
-// section, or its backend server wants no new work; load.Down if the backend
-// server is unreachable; otherwise load.Up.
+// section or in an evacuated zone, or its backend server wants no new work;
+// load.Down if the backend server is unreachable; otherwise load.Up.
 func (a *Agent) State() load.State {
+	if s := a.serverState(); s != load.Up || !a.Evacuated() {
+		return s
+	}
+	return load.Draining
+}
+
+// serverState returns what State returns outside evacuated zones.
+func (a *Agent) serverState() load.State {
 	a.mu.Lock()
 	leaving := !a.drainingSince.IsZero()
 	unlisted := a.section.Revision > 0 && !a.listed
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -94,6 +94,11 @@
 	b.table.Store(t)
 }
 
+// Evacuated returns the number of endpoints in evacuated zones.
+func (b *Balancer) Evacuated() int {
+	return b.table.Load().Evacuated()
+}
+
 // SetCodec replaces the keys of connection IDs.
 func (b *Balancer) SetCodec(c *connid.Codec) {
 	b.codec.Store(c)
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -6,6 +6,15 @@
 	"github.com/bergamotgw/bergamotgw/internal/relay"
 )
 
+// RegisterEvacuated registers the number of endpoints in evacuated zones, as far as the process
+// routes to them or serves them.
+func RegisterEvacuated(r prometheus.Registerer, endpoints func() int) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bergamotgw_evacuated_endpoints",
+		Help: "Endpoints in evacuated zones: at a balancer of all services, at an agent its own.",
+	}, func() float64 { return float64(endpoints()) }))
+}
+
 // RegisterRelay registers the counters of an agent's packet connection, and the number of its
 // open flows.
 func RegisterRelay(r prometheus.Registerer, c *relay.Counts, flows func() int) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -79,10 +79,11 @@
 	return p
 }
 
-// SetPeers selects the peers among the agents of the service. It starts heartbeats to new
-// peers, stops those to former ones, and drops the reports of agents that are not peers.
-func (p *Peers) SetPeers(ctx context.Context, agents []netip.AddrPort) {
-	agents = nearest(p.config.Self, agents)
+// SetPeers selects the peers among the agents of the service, some of which are in evacuated
+// zones. It starts heartbeats to new peers, stops those to former ones, and drops the reports
+// of agents that are not peers.
+func (p *Peers) SetPeers(ctx context.Context, agents []netip.AddrPort, evacuated map[netip.AddrPort]bool) {
+	agents = nearest(p.config.Self, agents, evacuated)
 	p.tasks.Retarget(ctx, agents, p.sendTo)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -17,6 +17,8 @@
 	// byAddress holds the route of each service address.
 	byAddress map[netip.AddrPort]*route
 	ranker    rendezvous.Ranker
+	// evacuated counts the endpoints in evacuated zones.
+	evacuated int
 }
 
 // route holds the agents of one service; the slices have equal length.
@@ -28,7 +30,7 @@
 }
 
 // NewTable builds the table from the sections and VM states in force. Agents on VMs
-// that are leaving or have stopped get no new flows. An address that two sections list
+// that are leaving or have stopped, and those in evacuated zones, get no new flows. An address that two sections list
 // belongs to the section whose name sorts first.
 func NewTable(l *ledger.Ledger, ranker rendezvous.Ranker) *Table {
 	t := &Table{byAddress: make(map[netip.AddrPort]*route), ranker: ranker}
@@ -40,9 +42,10 @@
 
 func (t *Table) add(s section.Section, l *ledger.Ledger) {
 	r := &route{service: section.ID(s.Service)}
+	t.evacuated += s.Evacuated()
 	for _, e := range s.Endpoints {
 		weight := e.Weight
-		if !available(l, e.VM) {
+		if s.Evacuates(e.Zone) || !available(l, e.VM) {
 			weight = 0
 		}
 		r.agents = append(r.agents, e.Agent)
@@ -64,7 +67,7 @@
 }
 
 // Candidates writes the agents for a new flow into list, best first and at most 16, and
-// returns the service and the number of agents. It returns false if no section lists the
+// returns the service and the number of agents, 0 if none may get it. It returns false if no section lists the
 // address.
 func (t *Table) Candidates(address netip.AddrPort, flow []byte, list []netip.AddrPort) (service uint32, n int, ok bool) {
 	r := t.byAddress[address]
@@ -83,3 +86,8 @@
 func (t *Table) Addresses() int {
 	return len(t.byAddress)
 }
+
+// Evacuated returns the number of endpoints in evacuated zones.
+func (t *Table) Evacuated() int {
+	return t.evacuated
+}
--- a/internal/section/check.go
+++ b/internal/section/check.go
@@ -15,6 +15,7 @@
 	MaxBytes       = 256 << 10
 	maxAddresses   = 64
 	maxEndpoints   = 1024
+	maxEvacuated   = 64
 	maxSlots       = 10_000
 	maxConnections = 1_000_000
 	maxWeight      = 1000
@@ -62,6 +63,7 @@
 	c.addresses(s.Addresses)
 	c.kinds(s)
 	c.endpoints(s.Endpoints)
+	c.evacuate(s.Evacuate)
 	c.limits(s.Limits)
 }
 
@@ -105,6 +107,17 @@
 	c.require(e.Weight >= 0 && e.Weight <= maxWeight, field+".weight", "%g, want 0 to %d", e.Weight, maxWeight)
 }
 
+func (c *checker) evacuate(zones []string) {
+	c.require(len(zones) <= maxEvacuated, "evacuate", "%d zones, at most %d allowed", len(zones), maxEvacuated)
+	seen := make(map[string]bool, len(zones))
+	for i, z := range zones {
+		field := fmt.Sprintf("evacuate[%d]", i)
+		c.require(namePattern.MatchString(z), field, "%q is not a name of lower-case letters, digits and hyphens", z)
+		c.require(!seen[z], field, "%q is listed twice", z)
+		seen[z] = true
+	}
+}
+
 func (c *checker) limits(l Limits) {
 	c.require(l.QueuePerSlot >= 0 && l.QueuePerSlot <= maxSlots, "limits.queuePerSlot", "%d, want 0 to %d", l.QueuePerSlot, maxSlots)
 	c.require(l.GraceSeconds >= 0 && l.GraceSeconds <= maxSeconds, "limits.graceSeconds", "%d, want 0 to %d", l.GraceSeconds, maxSeconds)
--- a/internal/section/section.go
+++ b/internal/section/section.go
@@ -5,8 +5,11 @@
 import (
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/pkg/request"
 )
 
@@ -24,6 +27,9 @@
 	Kinds []request.Kind `json:"kinds"`
 	// Endpoints are the backend servers; may be empty. Agents and VMs are unique in it.
 	Endpoints []Endpoint `json:"endpoints"`
+	// Evacuate are the availability zones whose endpoints accept no new work; unique. A zone
+	// without endpoints has no effect.
+	Evacuate []string `json:"evacuate,omitempty"`
 	// Limits are the limits on the work that agents accept.
 	Limits Limits `json:"limits"`
 }
@@ -75,6 +81,16 @@
 	return Endpoint{}, false
 }
 
+// Evacuates reports whether the endpoints in an availability zone accept no new work.
+func (s Section) Evacuates(zone string) bool {
+	return slices.Contains(s.Evacuate, zone)
+}
+
+// Evacuated returns how many endpoints are in evacuated zones.
+func (s Section) Evacuated() int {
+	return lo.CountBy(s.Endpoints, func(e Endpoint) bool { return s.Evacuates(e.Zone) })
+}
+
 // Accepts reports whether the service accepts requests of the kind.
 func (s Section) Accepts(kind request.Kind) bool {
 	for _, k := range s.Kinds {
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -78,7 +78,7 @@
 }
 
 // publish publishes the next revision of a section, or the stated one: publish SERVICE
-// [revision=n] [owner=x] [without=(vm,...)] [address-of=SERVICE] [address=SERVICE] [broken].
+// [revision=n] [owner=x] [without=(vm,...)] [evacuate=(zone,...)] [address-of=SERVICE] [address=SERVICE] [broken].
 // The argument address-of adds the address of another service, address takes it instead of
 // the own one, and broken misspells a field.
 func (s *system) publish(d *datadriven.TestData) string {
@@ -98,6 +98,8 @@
 		switch a.Key {
 		case "without":
 			x.Endpoints = slices.DeleteFunc(x.Endpoints, func(e section.Endpoint) bool { return slices.Contains(a.Vals, e.VM) })
+		case "evacuate":
+			x.Evacuate = a.Vals
 		case "address-of":
 			x.Addresses = append(x.Addresses, s.plan.Address(a.Vals[0]))
 		case "address":
@@ -194,7 +196,8 @@
 }
 
 // lastNew checks that the last request that isn't of a session reached a backend server at
-// most the given time after a mark: last-new VM since=MARK within=seconds.
+// most the given time after a mark, and with some after it: last-new VM since=MARK
+// within=seconds [some].
 func (s *system) lastNew(d *datadriven.TestData) string {
 	var mark string
 	var within float64
@@ -211,5 +214,8 @@
 	if delay > within {
 		return fmt.Sprintf("%.1f s late", delay)
 	}
+	if d.HasArg("some") && delay <= 0 {
+		return "none"
+	}
 	return "ok"
 }
