Check a configuration against the one in force

The findings are values of packages without input and output (documentcheck, routecheck). platform/check.go decodes the store's config into them with the operator's paths, so that the store's names stay there.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bergamotgw/bergamotgw"
+	"github.com/bergamotgw/bergamotgw/internal/checkcommand"
 )
 
 // Exit codes of the program.
@@ -27,7 +29,7 @@
 	Balancer balancerCommand `cmd:"" help:"Run a balancer, which forwards datagrams between the fabric and agents."`
 	Agent    agentCommand    `cmd:"" help:"Run an agent, which terminates flows beside a backend server."`
 	Connect  connectCommand  `cmd:"" help:"Run an on-ramp, which forwards TCP connections to a service."`
-	Check    checkCommand    `cmd:"" help:"Check the configuration document or a settings file, and print every fault."`
+	Check    checkCommand    `cmd:"" help:"Check the configuration document or a settings file, and print every fault. With --against, compare a document with the one in force."`
 	Schema   schemaCommand   `cmd:"" help:"Print the JSON Schema of the configuration document."`
 	Report   reportCommand   `cmd:"" help:"Print the configuration that is in force at running processes."`
 	Demo     demoCommand     `cmd:"" help:"Run a complete system with stand-ins on loopback, and inject failures."`
@@ -51,7 +53,7 @@
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		parser.FatalIfErrorf(err)
-		return max(exit, exitFailed)
+		return checkcommand.ParseCode(args, max(exit, exitFailed))
 	}
 	if ctx.Command() == "" {
 		return exit
@@ -59,6 +61,10 @@
 	ctx.BindTo(stdout, (*io.Writer)(nil))
 	if err := ctx.Run(); err != nil {
 		_, _ = fmt.Fprintln(stderr, "bergamotgw:", err)
+		var coded kong.ExitCoder
+		if errors.As(err, &coded) {
+			return coded.ExitCode()
+		}
 		return exitFailed
 	}
 	return exit
--- a/internal/packetcli/commands.go
+++ b/internal/packetcli/commands.go
@@ -7,9 +7,13 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/bergamotgw/bergamotgw/internal/checkcommand"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/fault"
+	"github.com/bergamotgw/bergamotgw/internal/finding"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
+	"github.com/bergamotgw/bergamotgw/internal/routecheck"
+	"github.com/bergamotgw/bergamotgw/platform"
 )
 
 type balancerCommand struct {
@@ -33,12 +37,21 @@
 }
 
 type checkCommand struct {
-	File string `arg:"" type:"path" help:"File to check."`
-	As   string `enum:"balancer,agent" required:"" help:"Type of process that the settings are for: ${enum}."`
+	File    string `arg:"" type:"path" help:"File to check."`
+	As      string `enum:"balancer,agent" required:"" xor:"kind" help:"Type of process that the settings are for: ${enum}."`
+	Against string `type:"path" required:"" xor:"kind" placeholder:"FORCE" help:"Operator's configuration in force: check another one, and print the differences."`
+	JSON    bool   `help:"Write the findings as JSON; only with --against."`
 }
 
-// Run prints every fault of a settings file, and fails if there are any.
+// Run prints every fault of a settings file, and fails if there are any. With the operator's
+// configuration in force, it checks another one and prints the differences.
 func (c *checkCommand) Run(stdout io.Writer) error {
+	switch {
+	case c.Against != "":
+		return checkcommand.Flags{Against: c.Against, JSON: c.JSON}.Run(stdout, c.File, compareRoutes)
+	case c.JSON:
+		return checkcommand.Usage("--json needs --against")
+	}
 	raw, err := os.ReadFile(c.File)
 	if err != nil {
 		return merry.Wrap(err)
@@ -58,3 +71,7 @@
 	_, err = fmt.Fprintf(stdout, "%s: no faults\n", c.File)
 	return err
 }
+
+func compareRoutes(force, next []byte) finding.List {
+	return routecheck.Against(platform.DecodeForCheck(force), platform.DecodeForCheck(next))
+}
--- a/internal/packetcli/packetcli.go
+++ b/internal/packetcli/packetcli.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"github.com/bergamotgw/bergamotgw/internal/checkcommand"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
 )
@@ -36,7 +38,7 @@
 	Balancer balancerCommand `cmd:"" help:"Run a balancer of packet flows."`
 	Agent    agentCommand    `cmd:"" help:"Run an agent of packet flows beside a backend server."`
 	Explain  explainCommand  `cmd:"" help:"Print the history of a flow or a request from logs, and the cause of its outcome."`
-	Check    checkCommand    `cmd:"" help:"Check a settings file, and print every fault."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file, and print every fault. With --against, compare the operator's configuration with the one in force."`
 }
 
 // Main runs the program and returns its exit code.
@@ -65,12 +67,16 @@
 	}
 	if err != nil {
 		parser.FatalIfErrorf(err)
-		return max(exit, exitFailed)
+		return checkcommand.ParseCode(args, max(exit, exitFailed))
 	}
 	ctx.BindTo(stdout, (*io.Writer)(nil))
 	ctx.Bind(caught)
 	if err := ctx.Run(); err != nil {
 		_, _ = fmt.Fprintln(stderr, "bergamotflow:", err)
+		var coded kong.ExitCoder
+		if errors.As(err, &coded) {
+			return coded.ExitCode()
+		}
 		return exitFailed
 	}
 	return exit
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -22,6 +22,15 @@
 // Decode decodes one JSON value. The returned lines locate faults that the caller finds later
 // in the decoded value.
 func Decode[T any](raw []byte) (T, Lines, []fault.Fault) {
+	return decode[T](raw, true)
+}
+
+// DecodeKnown decodes one JSON value like Decode, and ignores unknown fields.
+func DecodeKnown[T any](raw []byte) (T, Lines, []fault.Fault) {
+	return decode[T](raw, false)
+}
+
+func decode[T any](raw []byte, strict bool) (T, Lines, []fault.Fault) {
 	var value T
 	lines, repeated, err := index(raw)
 	if err != nil {
@@ -31,7 +40,9 @@
 		return value, lines, []fault.Fault{lines.Fault(repeated, "the field appears twice")}
 	}
 	d := json.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
+	if strict {
+		d.DisallowUnknownFields()
+	}
 	if err := d.Decode(&value); err != nil {
 		return value, lines, []fault.Fault{lines.decodeFault(raw, err)}
 	}
