Cancel requests that were handed over

An agent that runs a peer's request stopped reading the connection at the end mark of the request. If the caller cancelled after that, the peer closed the connection, and nobody noticed until the answer came: the backend server worked on, and held its slot. In an evacuated zone all requests are handed over. The agent now waits for the connection to close while it copies the answer, and aborts the connection to the backend server.

TestCancelAfterHandover fails without the change (5 s) and passes 50 of 50 with the race detector.

--- a/internal/agent/peer.go
+++ b/internal/agent/peer.go
@@ -56,14 +56,14 @@
 	defer stop()
 	sent := make(chan struct{})
 	go func() {
-		defer close(sent)
-		if _, err := io.Copy(writerOnly{p.execution}, readerOnly{c}); err != nil {
-			p.Abort()
-			return
-		}
-		if err := p.CloseWrite(); err != nil {
-			p.Abort()
+		err := p.copyRequest(c)
+		close(sent)
+		// The peer closes the connection before the end of the answer if its caller has
+		// cancelled the request, and the backend server must not continue with it.
+		if err == nil {
+			c.AwaitClose()
 		}
+		p.Abort()
 	}()
 	_, err := io.Copy(writerOnly{c}, readerOnly{p.execution})
 	p.release()
@@ -74,6 +74,14 @@
 	<-sent
 }
 
+// copyRequest copies the request to its end mark.
+func (p *peerSlot) copyRequest(c *chunked.Conn) error {
+	if _, err := io.Copy(writerOnly{p.execution}, readerOnly{c}); err != nil {
+		return err
+	}
+	return p.CloseWrite()
+}
+
 // awaitPeerClose waits until the peer has closed its direction, at most
 // peerCloseTimeout. Closing a connection that has unread bytes would discard
 // the end of the answer before the peer reads it.
--- a/internal/chunked/chunked.go
+++ b/internal/chunked/chunked.go
@@ -83,6 +83,12 @@
 	return err
 }
 
+// AwaitClose waits until the other side closes the connection or sends anything. It must be
+// called only after the end mark was read.
+func (c *Conn) AwaitClose() {
+	_, _ = c.conn.Read(make([]byte, 1))
+}
+
 // Abort closes the connection. The other side reads ErrTruncated unless the end mark was sent first.
 func (c *Conn) Abort() {
 	_ = c.conn.Close()
