Play evacuations of zones in the emulator, random faults and soak

The operator of the emulator requests evacuations, repeats what a backup lacks, and removes them. No new flow may reach a server of a zone that has been evacuated for 5 s, unless neither the balancer that placed it nor the agent could know of it; balancers can act as older programs. Scripts: overlapping requests with older and partitioned balancers, a release of servers with returns from backups, every zone at once.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
 	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
 // Timing of the stand-ins.
@@ -34,9 +35,13 @@
 	// platform lacks it.
 	newest  catalog.Routes
 	servers map[string]catalog.Server
+	// evacuated holds the zones that the operator's keys name; it is replaced, never modified.
+	evacuated map[string]bool
 	// at is the position of the latest change.
 	at   position.Position
 	down bool
+	// downSince is when the latest outage began.
+	downSince time.Time
 	// returnedAt is when it latest returned from a backup.
 	returnedAt time.Time
 	// backups holds earlier contents, the oldest first.
@@ -84,6 +89,8 @@
 	everListed map[string]catalog.Server
 	// confirmed is true if a corroborated balancer has sent the entries that expired.
 	confirmed bool
+	// older is true if it behaves as a program that does not know of evacuations.
+	older bool
 	// routedUntil is when the fabric stops routing packets to the stopped balancer; zero
 	// while it runs.
 	routedUntil time.Time
@@ -131,7 +138,13 @@
 		Clock:              l.clock,
 		Log:                l.eventLog(b.vm),
 	}, packetbalancer.Transport{
-		SendFleetDatagram: func(raw []byte, to netip.AddrPort) error { l.send(raw, b.back(), to); return nil },
+		SendFleetDatagram: func(raw []byte, to netip.AddrPort) error {
+			if _, ping := steer.ParsePing(raw); ping && b.older {
+				raw = raw[:shortPingLen]
+			}
+			l.send(raw, b.back(), to)
+			return nil
+		},
 		SendToCaller: func(raw []byte, to netip.AddrPort) error {
 			l.send(raw, netip.AddrPortFrom(b.ip, frontPort), to)
 			return nil
@@ -218,7 +231,8 @@
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = b.readAt
 	}
-	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.at, lo.Values(p.servers)))
+	servers := catalog.NewServers(p.at, lo.Values(p.servers)).WithEvacuations(b.evacuations())
+	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(servers)
 	b.balancer.SetRoutes(b.catalog.Routes)
 	b.balancer.SetServers(b.catalog.Servers)
 	for _, v := range b.catalog.Servers.List {
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -176,9 +176,10 @@
 // PlatformDown makes the platform unreachable for the given time. If expire is true, all
 // entries of servers expire during the outage and return 1.5 s after its end.
 func (l *Lab) PlatformDown(d time.Duration, expire bool) {
-	l.platform.down = true
+	l.platform.down, l.platform.downSince = true, l.clock.Now()
 	l.after(d, func() {
 		l.platform.down, l.platform.restoredAt = false, l.clock.Now()
+		l.delayRequests(l.platform.downSince)
 		if !expire {
 			return
 		}
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -79,8 +79,13 @@
 	outageFrom, outageUntil time.Time
 	// failedFlows holds the flows on which a request ended without an answer, in order.
 	failedFlows []packet.Flow
-	nextIP      int
-	nextID      uint64
+	// requests holds the operator's present requests to evacuate, by zone. evacuates is true from
+	// the first one, and evacuatedUntil when the latest ended.
+	requests       map[string]evacuation
+	evacuates      bool
+	evacuatedUntil time.Time
+	nextIP         int
+	nextID         uint64
 }
 
 // vm is a virtual machine.
@@ -120,6 +125,7 @@
 		placedBy:  make(map[flowKey]*balancerVM),
 		onceIDs:   make(map[uint64]bool),
 		ranIDs:    make(map[uint64]bool),
+		requests:  make(map[string]evacuation),
 	}
 }
 
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -154,7 +154,8 @@
 		_, _ = fmt.Sscan(factorText, &factor)
 	}
 	name, length := d.CmdArgs[0].Key, duration(t, down)
-	if name == "restorePlatform" {
+	if name == "restorePlatform" && len(l.platform.backups) == 0 {
+		// A second series would halve the age of the oldest backup that is kept.
 		l.TakeBackups()
 	}
 	l.At(duration(t, at), func() {
@@ -191,6 +192,10 @@
 			l.SetRoutes(l.platform.newest.Version+1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 		case "moveRoute":
 			l.SetRoutes(l.platform.newest.Version+1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"portal", "pass", "portal"})
+		case "evacuateZone":
+			l.EvacuateZone(l.zones[index%len(l.zones)], length)
+		case "olderBalancer":
+			l.MakeOlder(index)
 		case "cutBalancer":
 			l.CutBalancer(index, length)
 		case "isolateBalancer":
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -13,10 +13,12 @@
 	firstSeed = flag.Uint64("packetlab.seed", 1, "first seed of TestRandomFaults")
 	seedCount = flag.Int("packetlab.seeds", 24, "number of seeds of TestRandomFaults")
 	// largeCount is the number of seeds from largeSeeds on that also run, isolationCount the
-	// number of those from isolationSeeds on, and restoreCount of those from randomRestoreSeeds on.
-	largeCount     = flag.Int("packetlab.largeSeeds", 4, "number of seeds of TestRandomFaults with large services")
-	restoreCount   = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
-	isolationCount = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
+	// number of those from isolationSeeds on, restoreCount of those from randomRestoreSeeds on, and
+	// evacuationCount of those from randomEvacuationSeeds on.
+	largeCount      = flag.Int("packetlab.largeSeeds", 4, "number of seeds of TestRandomFaults with large services")
+	restoreCount    = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
+	evacuationCount = flag.Int("packetlab.evacuationSeeds", 8, "number of seeds of TestRandomFaults with evacuations of zones")
+	isolationCount  = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 )
 
 // failedSeeds have failed once, and lie outside the seeds that run anyway. 46, 155 and 217
@@ -36,6 +38,9 @@
 	// randomRestoreSeeds is the first seed whose schedule also changes the routes and returns
 	// the platform from backups; those from largeSeeds on do not.
 	randomRestoreSeeds = 10_000
+	// randomEvacuationSeeds is the first seed whose schedule also evacuates zones; those from
+	// largeSeeds on do not.
+	randomEvacuationSeeds = 500_000
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// maxRandomFault is the longest time that a fault lasts.
@@ -64,6 +69,9 @@
 	for seed := uint64(randomRestoreSeeds); seed < randomRestoreSeeds+uint64(*restoreCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(randomEvacuationSeeds); seed < randomEvacuationSeeds+uint64(*evacuationCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 	for seed := uint64(largeSeeds); seed < largeSeeds+uint64(*largeCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
@@ -105,6 +113,9 @@
 		kinds = 15
 		l.TakeBackups()
 	}
+	if seed >= randomEvacuationSeeds && seed < largeSeeds {
+		kinds = 18
+	}
 	lost := 0
 	for at := randomFrom; at < randomUntil; at += time.Duration(r.Int64N(int64(1500 * time.Millisecond))) {
 		d := maxRandomFault - 3*time.Second + time.Duration(r.Int64N(int64(3*time.Second)))
@@ -120,7 +131,10 @@
 		})
 	}
 	l.Run(randomUntil + maxRandomFault)
-	end := max(randomUntil, l.restoreEnd())
+	for len(l.requests) > 0 {
+		l.Run(l.Elapsed() + time.Second)
+	}
+	end := max(randomUntil, l.restoreEnd(), l.evacuatedUntil.Sub(l.started))
 	l.Run(end + randomRecovery/2)
 	before := l.tally
 	l.Run(end + randomRecovery)
@@ -188,6 +202,14 @@
 	case kind == 14:
 		l.SetRoutes(l.platform.newest.Version+1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 		return "setRoutes"
+	case kind >= 15 && kind <= 17:
+		zone := l.zones[pick%len(l.zones)]
+		length := d
+		if pick%2 == 0 {
+			length += evacuateBound
+		}
+		l.EvacuateZone(zone, length)
+		return fmt.Sprintf("evacuateZone %s %v", zone, length)
 	case kind == 10 && running && l.servers[s].service.Name == "pass":
 		l.ReuseAddress(s, portalService, 2*time.Second+d)
 		return fmt.Sprintf("reuseAddress %d %v", s, d)
--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -286,6 +286,7 @@
 	return packetsettings.Common{
 		Name: v.ip.String(), Zone: v.zone, Ready: netip.AddrPortFrom(v.ip, readyPort),
 		MaxFlowSeconds: maxFlow.Seconds(), GraceSeconds: 6,
+		EvacuateMillis: r.lab.settingMillis(evacuateBound), DrainMillis: r.lab.settingMillis(drainBound),
 	}
 }
 
--- a/internal/lab/packetlab/restore.go
+++ b/internal/lab/packetlab/restore.go
@@ -27,6 +27,8 @@
 	revision uint64
 	routes   catalog.Routes
 	servers  map[string]catalog.Server
+	// evacuated is never modified.
+	evacuated map[string]bool
 	// store is the content of the stand-in that real processes read.
 	store standin.Backup
 }
@@ -34,7 +36,7 @@
 // TakeBackups makes the platform take backups from now on, of which RestorePlatform needs one.
 func (l *Lab) TakeBackups() {
 	p := &l.platform
-	b := backup{takenAt: l.clock.Now(), revision: p.at.Revision, routes: p.routes, servers: maps.Clone(p.servers)}
+	b := backup{takenAt: l.clock.Now(), revision: p.at.Revision, routes: p.routes, servers: maps.Clone(p.servers), evacuated: p.evacuated}
 	if l.real != nil {
 		b.store = l.real.store.Backup()
 	}
@@ -47,7 +49,7 @@
 // then write again what was lost; entries of servers that have stopped expire.
 func (l *Lab) RestorePlatform(d, age time.Duration) {
 	p := &l.platform
-	p.down = true
+	p.down, p.downSince = true, l.clock.Now()
 	at := l.clock.Now().Add(-age)
 	b, _, found := lo.FindLastIndexOf(p.backups, func(b backup) bool { return !b.takenAt.After(at) })
 	if !found {
@@ -59,7 +61,8 @@
 	l.after(d, func() {
 		p.down, p.restoredAt, p.returnedAt = false, l.clock.Now(), l.clock.Now()
 		p.at.Epoch++
-		p.at.Revision, p.routes, p.servers = b.revision, b.routes, maps.Clone(b.servers)
+		p.at.Revision, p.routes, p.servers, p.evacuated = b.revision, b.routes, maps.Clone(b.servers), b.evacuated
+		l.delayRequests(p.downSince)
 		if l.real != nil {
 			l.real.store.Restore(b.store)
 			l.real.store.SetMode(standin.Up)
@@ -80,6 +83,7 @@
 	if p.newest.Version > p.routes.Version {
 		l.publish(p.newest)
 	}
+	l.rewriteRequests()
 	for _, s := range l.servers {
 		if listed, ok := p.servers[s.entryID()]; s.up && s.alive && (!ok || listed.State != s.state) {
 			p.register(s)
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -41,6 +41,8 @@
 	resets bool
 	// drainedAt is when the platform listed the server as draining; zero if it did not.
 	drainedAt time.Time
+	// agentStartedAt is when the agent was last started.
+	agentStartedAt time.Time
 
 	agent    *packetagent.Agent
 	flows    map[packet.Flow]*serverFlow
@@ -88,6 +90,7 @@
 func (s *serverVM) startAgent() {
 	l := s.lab
 	s.epoch++
+	s.agentStartedAt = l.clock.Now()
 	if l.real != nil {
 		l.real.startAgent(s)
 		return
@@ -187,6 +190,7 @@
 func (s *serverVM) open(f packet.Flow, p packet.Packet) {
 	flow := s.flows[f]
 	if flow == nil {
+		s.lab.recordOpening(s, f)
 		first := s.lab.rand.Uint32()
 		flow = &serverFlow{name: f, stream: stream{lab: s.lab, next: first + 1, acked: first + 1, expected: p.Seq + 1}}
 		flow.send = func(p packet.Packet) { s.reply(f, p) }
--- a/internal/lab/packetlab/soak.go
+++ b/internal/lab/packetlab/soak.go
@@ -72,6 +72,7 @@
 		return nil, err
 	}
 	defer l.Close()
+	l.evacuates = s.Seed >= evacuationSeeds
 	l.SetRoutes(1, soakKinds, []string{soakService.Name, soakService.Name})
 	for i := range s.Servers {
 		l.AddServer(l.zones[i%len(l.zones)], soakService, 1)
@@ -189,6 +190,10 @@
 // seeds never do, so that the schedules that have failed once stay the same.
 const restoreSeeds = 8000
 
+// evacuationSeeds is the first seed whose schedule also evacuates zones, and whose processes have
+// evacuateMillis set.
+const evacuationSeeds = 9000
+
 // faults returns the kinds of fault of a soak.
 func (s Soak) faults() []fault {
 	list := []fault{
@@ -219,7 +224,8 @@
 		{"platform", 3, func(l *Lab, r *rand.Rand) string {
 			mode := standin.Mode(r.IntN(int(standin.Slow) + 1))
 			l.real.store.SetMode(mode)
-			l.after(restartDelay(r)*2, func() { l.real.store.SetMode(standin.Up) })
+			from := l.clock.Now()
+			l.after(restartDelay(r)*2, func() { l.real.store.SetMode(standin.Up); l.delayRequests(from) })
 			return fmt.Sprintf("mode %d", mode)
 		}},
 		{"refuse", 2, func(l *Lab, r *rand.Rand) string {
@@ -248,6 +254,18 @@
 			return fmt.Sprintf("%v old, after %v", age, d)
 		}})
 	}
+	if s.Seed >= evacuationSeeds {
+		list = append(list, fault{"evacuateZone", 3, func(l *Lab, r *rand.Rand) string {
+			zone, d := l.zones[r.IntN(len(l.zones))], restartDelay(r)*5
+			// All balancers must know of the end before the recovery is measured.
+			d = min(d, soakWarmup+s.For-soakRecovery-l.Elapsed())
+			if d <= 0 {
+				return "(too late)"
+			}
+			l.EvacuateZone(zone, d)
+			return fmt.Sprintf("%s for %v", zone, d)
+		}})
+	}
 	return list
 }
 
