Ignore evacuated zones where the settings have no evacuations

Without evacuateMillis nobody reads the operator's keys, so a set that a balancer took over from a replica would have stayed in force for ever. A balancer that has just started reads the keys at once if no set is known, also when it got its list from an older program. The agent counts a closed flow no longer as one that its server may yet open.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,8 +44,8 @@
 	Zone string
 	// Seeds are the balancers whose catalogs are fetched at the start; some may be down.
 	Seeds []netip.Addr
-	// Evacuations is true if the deployment evacuates zones, so that a reading counts only if it
-	// contains the evacuated ones.
+	// Evacuations is true if the deployment evacuates zones. Then a reading of another balancer
+	// counts only if that reads the evacuated ones; else their sets are ignored.
 	Evacuations bool
 	// Bounds are the time bounds of the deployment.
 	Bounds bounds.Bounds
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -41,17 +41,22 @@
 func (d *Directory) confirmEvacuations(f steer.Freshness, from string) {
 	d.mu.Lock()
 	e := d.catalog.Load().Servers.Evacuations
-	confirmed := f.Revision > 0 && f.Sum == d.sum
+	confirmed := d.config.Evacuations && f.Revision > 0 && f.Sum == d.sum
 	d.mu.Unlock()
 	if confirmed {
 		d.applyEvacuations(e.WithPosition(f.EvacuationsAt), f.Age, from)
 	}
 }
 
+// unreadEvacuations reports whether the deployment has evacuations and no set was read yet.
+func (d *Directory) unreadEvacuations() bool {
+	return d.config.Evacuations && !d.catalog.Load().Servers.Evacuations.Known()
+}
+
 // lacksEvacuations reports whether the sender of a digest has a newer set of evacuated zones. The
 // caller holds the lock.
 func (d *Directory) lacksEvacuations(f steer.Freshness) bool {
-	return d.catalog.Load().Servers.Evacuations.Before(f.EvacuationsAt)
+	return d.config.Evacuations && d.catalog.Load().Servers.Evacuations.Before(f.EvacuationsAt)
 }
 
 // readsEvacuations reports whether a sender of digests reads the evacuated zones, if this
@@ -61,7 +66,8 @@
 }
 
 // takeEvacuations applies the set that another directory has returned, by itself or with its
-// servers, and removes it from them.
+// servers, and removes it from them. Where the deployment has no evacuations, nobody would read
+// that set again, so it is not applied.
 func (d *Directory) takeEvacuations(r *catalogResult, waited time.Duration, from string) {
 	var received catalog.Evacuations
 	if r.Servers != nil {
@@ -70,7 +76,7 @@
 	if r.Evacuations != nil {
 		received = *r.Evacuations
 	}
-	if !received.Known() {
+	if !d.config.Evacuations || !received.Known() {
 		return
 	}
 	e, faults := catalog.NewEvacuations(received.Position, received.Zones)
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -94,15 +94,32 @@
 	awaitServers(t, d, 0, "x")
 }
 
-// TestEvacuationsBesideOlderPrograms guards against a balancer that never reads the evacuated
-// zones because older programs, which do not read them, confirm its list of servers.
-func TestEvacuationsBesideOlderPrograms(t *testing.T) {
+// newQuietDirectory returns a directory that sends nothing, on a simulated clock.
+func newQuietDirectory(evacuations bool) (*Directory, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
-	d := NewDirectory(Config{
-		Self: netip.MustParseAddrPort("127.0.0.2:1"), Evacuations: true, Bounds: bounds.Default(), Clock: clock,
+	return NewDirectory(Config{
+		Self: netip.MustParseAddrPort("127.0.0.2:1"), Evacuations: evacuations, Bounds: bounds.Default(), Clock: clock,
 		Send:    func([]byte, netip.AddrPort) {},
 		Changed: func(*catalog.Catalog, []Expired) {}, Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
-	})
+	}), clock
+}
+
+// TestEvacuationsWithoutSetting guards against a set that stays in force for ever because it is
+// taken over from a replica after the operator has disabled evacuations.
+func TestEvacuationsWithoutSetting(t *testing.T) {
+	d, _ := newQuietDirectory(false)
+	at := position.Position{Epoch: 1, Revision: 7}
+	list := catalog.NewServers(at, nil).WithEvacuations(catalog.Evacuations{Position: at, Zones: []string{"b"}})
+	d.applyResult(catalogResult{Servers: &list}, catalog.NewCatalog(), d.started, "replica")
+	if got := d.Catalog().Servers; got.Evacuations.Known() || got.Revision != 7 || d.lacksEvacuations(steer.Freshness{EvacuationsAt: at}) {
+		t.Errorf("%+v, want the list alone", got)
+	}
+}
+
+// TestEvacuationsBesideOlderPrograms guards against a balancer that never reads the evacuated
+// zones because older programs, which do not read them, confirm its list of servers.
+func TestEvacuationsBesideOlderPrograms(t *testing.T) {
+	d, clock := newQuietDirectory(true)
 	at := position.Position{Epoch: 1, Revision: 7}
 	d.applyRoutes(catalog.Routes{Version: 1}, "platform")
 	d.applyEvacuations(catalog.Evacuations{Position: at, Zones: []string{"b"}}, 0, "platform")
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -65,11 +65,12 @@
 	return min(2*pause, d.config.Bounds.MaxReadingAge())
 }
 
-// read reads the routes, except right after the start, and the servers. It returns an error if
-// a call fails, or if the platform answers with an older state than before.
+// read reads what the operator has written, and the servers; right after the start the servers
+// alone, unless the evacuated zones are not known yet. It returns an error if a call fails, or if
+// the platform answers with an older state than before.
 func (d *Directory) read(ctx context.Context) error {
 	requestedAt := d.config.Clock.Now()
-	if !d.starting() {
+	if !d.starting() || d.unreadEvacuations() {
 		d.counts.Reads.Add(1)
 		read, err := d.config.Source.Routes(ctx)
 		if read.Evacuations.Known() {
--- a/internal/packetagent/evacuation.go
+++ b/internal/packetagent/evacuation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -45,10 +46,12 @@
 // forwardFromEvacuated handles the SYN of a flow that is not open, in an evacuated zone: whatever
 // the envelope demands, the server must not receive it. The SYN goes to the next candidate, or to
 // the one with the shortest delay of those that declined it, which must admit it. If there is
-// none, no candidate can take the flow. opening is true if an earlier copy was delivered to the
-// server, which may yet answer it.
-func (a *Agent) forwardFromEvacuated(e *steer.Envelope, p packet.Packet, opening bool, raw, rest []byte) {
+// none, no candidate can take the flow.
+func (a *Agent) forwardFromEvacuated(e *steer.Envelope, p packet.Packet, raw, rest []byte) {
 	flow := p.FlowFromCaller()
+	entry := a.table.Get(flow)
+	// The server has got an earlier copy, and may yet answer it.
+	opening := entry != nil && entry.State == flowtable.Opening
 	a.counts.Evacuated.Add(1)
 	a.config.Log.Info("flowPassedOn").Stringer("flow", flow).Uint8("hop", e.Hop).Uint8("of", e.Count).
 		Uint32("copy", p.AckSeq).Bool("take", e.MustAdmit).Str("reason", "evacuated").Send()
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if a.evacuated(now) {
-		a.forwardFromEvacuated(e, p, a.table.Get(flow) != nil, raw, rest)
+		a.forwardFromEvacuated(e, p, raw, rest)
 		return
 	}
 	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Opening {
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -63,16 +63,17 @@
 	}
 	if len(s.Seeds) > 0 {
 		a.replica = directory.NewDirectory(directory.Config{
-			Self:     s.Relay,
-			Peer:     s.Relay,
-			PeerPort: s.Seeds[0].Port(),
-			Replica:  true,
-			Bounds:   s.Bounds(),
-			Zone:     s.Zone,
-			Send:     a.dataPlane.Send,
-			Changed:  func(*catalog.Catalog, []directory.Expired) {},
-			Clock:    a.clock,
-			Log:      l,
+			Self:        s.Relay,
+			Peer:        s.Relay,
+			PeerPort:    s.Seeds[0].Port(),
+			Replica:     true,
+			Bounds:      s.Bounds(),
+			Zone:        s.Zone,
+			Evacuations: s.EvacuateMillis > 0,
+			Send:        a.dataPlane.Send,
+			Changed:     func(*catalog.Catalog, []directory.Expired) {},
+			Clock:       a.clock,
+			Log:         l,
 		})
 	}
 	a.metrics.AddAgent(a.dataPlane)
