Retain a zone until a reading that was made after the retention

The operator repeats a lost request up to 2 s after the return of the store; a balancer whose next reading came later than 2.5 s after the return offered flows to the zone in between. The operator of the emulator now repeats requests after 2 s.

--- a/internal/lab/packetlab/evacuate.go
+++ b/internal/lab/packetlab/evacuate.go
@@ -91,8 +91,11 @@
 	}
 }
 
-// rewriteRequests repeats the requests and removals that the platform has lost.
-func (l *Lab) rewriteRequests() {
+// rewriteRequests repeats the requests and removals that the platform has lost, in the given epoch.
+func (l *Lab) rewriteRequests(epoch uint64) {
+	if l.platform.at.Epoch != epoch || l.platform.down {
+		return
+	}
 	for zone := range l.requests {
 		if !l.platform.evacuated[zone] {
 			l.writeRequest(zone, true)
--- a/internal/lab/packetlab/restore.go
+++ b/internal/lab/packetlab/restore.go
@@ -19,6 +19,8 @@
 	// rewriteDelay is how long after a return the operator and the servers write again what
 	// the platform has lost.
 	rewriteDelay = 800 * time.Millisecond
+	// requestRewriteDelay is how long after a return the operator repeats requests to evacuate.
+	requestRewriteDelay = 2 * time.Second
 )
 
 // backup is the content of the platform at one time.
@@ -69,6 +71,7 @@
 		}
 		epoch := p.at.Epoch
 		l.after(rewriteDelay, func() { l.rewrite(epoch) })
+		l.after(requestRewriteDelay, func() { l.rewriteRequests(epoch) })
 		l.after(expireAfter, func() { l.expireStopped(epoch) })
 	})
 }
@@ -83,7 +86,6 @@
 	if p.newest.Version > p.routes.Version {
 		l.publish(p.newest)
 	}
-	l.rewriteRequests()
 	for _, s := range l.servers {
 		if listed, ok := p.servers[s.entryID()]; s.up && s.alive && (!ok || listed.State != s.state) {
 			p.register(s)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -112,7 +112,7 @@
 	reason := ""
 	switch {
 	case e.Count > 0:
-	case b.selection.Evacuated(service, now):
+	case b.selection.Evacuated(service):
 		reason = "evacuated"
 	case b.selection.Unavailable(service, now):
 		reason = "noServer"
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -272,7 +272,7 @@
 	return steer.Notice{
 		EvacuationsKnown:   evacuations.Known(),
 		EvacuationsAt:      evacuations.Position,
-		Evacuated:          b.selection.ZoneEvacuated(a.Server.Zone, now),
+		Evacuated:          b.selection.ZoneEvacuated(a.Server.Zone),
 		ServerKnown:        a.Server.Born > 0 && a.UnlistedSince.IsZero(),
 		Born:               a.Server.Born,
 		Warmup:             max(a.WarmUntil.Sub(now), 0),
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -19,7 +19,7 @@
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
 	s.near, s.far = s.near[:0], s.far[:0]
 	for _, a := range s.byService[service] {
-		if !s.usable(a) || s.evacuated(a, now) {
+		if !s.usable(a) || s.evacuated(a) {
 			continue
 		}
 		group := &s.far
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -196,7 +196,7 @@
 // RecordPing records that a ping was sent to an agent, which answers it with a report.
 func (s *Selection) RecordPing(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
-		a.lastPingAt, a.toldEvacuated = now, s.evacuated(a, now)
+		a.lastPingAt, a.toldEvacuated = now, s.evacuated(a)
 		s.awaitReport(a, now)
 	}
 }
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -29,7 +29,7 @@
 // TestSelection runs scripts of lists, reports and pauses, and prints what is selected.
 // "servers" reads a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
 // [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N. "expired" adds
-// such servers as expired now.
+// such servers as expired now. With "unread" no list is read before a command.
 func TestSelection(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
@@ -38,7 +38,7 @@
 		revision := uint64(0)
 		var previous steer.Envelope
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			if d.Cmd != "outage" {
+			if d.Cmd != "outage" && !d.HasArg("unread") {
 				s.RecordRead(now)
 			}
 			switch d.Cmd {
@@ -48,7 +48,7 @@
 				s.Update(list.WithEvacuations(readEvacuations(t, d, revision)), now)
 				return ""
 			case "evacuated":
-				return strconv.FormatBool(s.Evacuated("pass", now))
+				return strconv.FormatBool(s.Evacuated("pass"))
 			case "expired":
 				for _, v := range readServers(t, d) {
 					s.Expire(v, now)
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -96,21 +96,21 @@
 			delete(s.tracked, at)
 		case a.inUse(now):
 			inUse++
-		case s.evacuated(a, now) || a.toldEvacuated:
+		case s.evacuated(a) || a.toldEvacuated:
 		case a.UnansweredSince.IsZero() && !a.wasSuspect && !a.recentlySearched(now) && !a.lastPingAt.IsZero():
 			delete(s.tracked, at)
 		}
-		if a.lastPingAt.IsZero() || s.misinformed(a, now) {
+		if a.lastPingAt.IsZero() || s.misinformed(a) {
 			uninformed++
 		}
 	}
-	maxAge, noticeAge := max(minReportAge, time.Duration(inUse)*meanPingInterval), s.noticeAge(now)
+	maxAge, noticeAge := max(minReportAge, time.Duration(inUse)*meanPingInterval), s.noticeAge()
 	s.scored = s.scored[:0]
 	for _, a := range s.tracked {
 		age := now.Sub(a.LastReportAt)
 		if a.lastPingAt.IsZero() || a.suspect(now) || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod ||
-			s.misinformed(a, now) || s.evacuated(a, now) && now.Sub(a.lastPingAt) > noticeAge {
-			s.scored = append(s.scored, scored{a, lo.Ternary(s.misinformed(a, now), 1.0, 0)})
+			s.misinformed(a) || s.evacuated(a) && now.Sub(a.lastPingAt) > noticeAge {
+			s.scored = append(s.scored, scored{a, lo.Ternary(s.misinformed(a), 1.0, 0)})
 		}
 	}
 	s.sort(func(a, b scored) int {
