--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -77,13 +77,13 @@
 	return min(2*pause, d.config.Bounds.MaxReadingAge())
 }
 
-// read reads the routes, except right after the start unless the reading is requested, and the
-// servers. It returns an error if
-// a call fails, or if the platform answers with an older state than before. limit is the longest
-// time that a call may take; 0 for the usual one.
+// read reads what the operator has written, and the servers; right after the start the servers
+// alone, unless the reading is requested, or the routes or evacuated zones are not known yet. It
+// returns an error if a call fails, or if the platform answers with an older state than before.
+// limit is the longest time that a call may take; 0 for the usual one.
 func (d *Directory) read(ctx context.Context, limit time.Duration, requested bool) error {
 	requestedAt := d.config.Clock.Now()
-	withRoutes := requested || !d.starting() || d.Catalog().Routes.Version == 0
+	withRoutes := requested || !d.starting() || d.Catalog().Routes.Version == 0 || d.unreadEvacuations()
 	if withRoutes {
 		d.counts.Reads.Add(1)
 		read, err := limitCall(ctx, limit, d.config.Source.Routes)
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -43,6 +43,8 @@
 	drainedAt time.Time
 	// stopsAt is when the VM stops at the end of its latest drain; zero if it never drained.
 	stopsAt time.Time
+	// agentStartedAt is when the agent was last started.
+	agentStartedAt time.Time
 
 	agent    *packetagent.Agent
 	flows    map[packet.Flow]*serverFlow
@@ -93,6 +95,7 @@
 func (s *serverVM) startAgent() {
 	l := s.lab
 	s.epoch++
+	s.agentStartedAt = l.clock.Now()
 	if l.real != nil {
 		l.real.startAgent(s)
 		return
@@ -192,6 +195,7 @@
 func (s *serverVM) open(f packet.Flow, p packet.Packet) {
 	flow := s.flows[f]
 	if flow == nil {
+		s.lab.recordOpening(s, f)
 		first := s.lab.rand.Uint32()
 		flow = &serverFlow{name: f, stream: stream{lab: s.lab, next: first + 1, acked: first + 1, expected: p.Seq + 1}}
 		flow.send = func(p packet.Packet) { s.reply(f, p) }
