--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,8 +51,11 @@
 	// them; older programs omit them.
 	Services []string `json:"services,omitempty"`
 	// ColdFlowsPerSecond is how many new flows a second a cold server bears, by service; a service
-	// without an entry has no limit.
+	// without an entry has no limit. Older programs omit it.
 	ColdFlowsPerSecond map[string]float64 `json:"coldFlowsPerSecond,omitempty"`
+	// Faults describes the parts of the operator's config that were invalid and are ignored; only
+	// the process that read the config has them.
+	Faults []error `json:"-"`
 }
 
 // ServiceNames returns the services that the operator has defined or that a route leads to.
@@ -145,9 +148,12 @@
 	return &Catalog{}
 }
 
-// WithRoutes returns a copy with the given routes, or c itself if they are not newer.
+// WithRoutes returns a copy with the given routes, or c itself if they are not newer. Routes of the
+// same version are newer if only they limit cold servers: older programs pass a version on without
+// its limits.
 func (c *Catalog) WithRoutes(r Routes) *Catalog {
-	if r.Version <= c.Routes.Version {
+	addsLimits := r.Version == c.Routes.Version && len(r.ColdFlowsPerSecond) > 0 && len(c.Routes.ColdFlowsPerSecond) == 0
+	if r.Version < c.Routes.Version || r.Version == c.Routes.Version && !addsLimits {
 		return c
 	}
 	next := *c
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -16,6 +17,7 @@
 
 func drawRoutes(t *rapid.T, version uint64) Routes {
 	r := Routes{Version: version, IdleTimeout: time.Duration(version) * time.Second}
+	r.ColdFlowsPerSecond = rapid.MapOfN(rapid.SampledFrom([]string{"a", "b"}), rapid.Float64Range(0.1, 1e6), 1, 2).Draw(t, "coldFlows")
 	for _, n := range rapid.SliceOfDistinct(rapid.Uint8Range(0, 20), rapid.ID[uint8]).Draw(t, "routes") {
 		r.List = append(r.List, Route{
 			Name: fmt.Sprint(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 1),
@@ -60,7 +62,8 @@
 		byAddress := func(x, y Route) int { return x.Address.Compare(y.Address) }
 		slices.SortFunc(got.List, byAddress)
 		want := slices.SortedFunc(slices.Values(b.List), byAddress)
-		if !ok || got.Version != 2 || got.IdleTimeout != b.IdleTimeout || !slices.EqualFunc(got.List, want, sameRoute) {
+		if !ok || got.Version != 2 || got.IdleTimeout != b.IdleTimeout || !slices.EqualFunc(got.List, want, sameRoute) ||
+			!maps.Equal(got.ColdFlowsPerSecond, b.ColdFlowsPerSecond) {
 			t.Fatalf("routes %t %+v, want %+v", ok, got, b)
 		}
 		if _, ok := b.WithDelta(d); ok {
@@ -93,3 +96,16 @@
 		t.Errorf("%d changed, %d removed, want 1 and 1", len(d.List.Changed), len(d.List.Removed))
 	}
 }
+
+// TestLimitsOfSameVersion guards against a limit of cold servers that stays unknown because an older
+// program has passed the same version of the routes on without it.
+func TestLimitsOfSameVersion(t *testing.T) {
+	limited := Routes{Version: 3, ColdFlowsPerSecond: map[string]float64{"a": 10}}
+	c := NewCatalog().WithRoutes(Routes{Version: 3}).WithRoutes(limited)
+	if c.Routes.ColdFlowsPerSecond["a"] != 10 {
+		t.Error("the limit is unknown")
+	}
+	if next := c.WithRoutes(Routes{Version: 3}); next != c {
+		t.Error("routes of the same version without a limit replaced those with one")
+	}
+}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -75,6 +75,7 @@
 		if err != nil {
 			return err
 		}
+		d.recordIgnored(routes.Faults, "config")
 		d.applyRoutes(routes, "platform")
 	}
 	d.counts.Reads.Add(1)
