Limit the new flows of a cold server at its agent

A server that has just started received new flows at any rate. Its agent now admits at most floor(rate x warmupOverage + warmupSlack) opening packets in any second while the server is cold, as pings state it or evidence of a restart suggests. Above the limit it passes a SYN on, also one that it must admit, drops it if a copy will find room in time, or refuses it. Services without a rate are unchanged.

--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -14,6 +14,11 @@
 	NotFound atomic.Uint64
 	// Refused counts new flows that were reset because their expected delay reached the timeout.
 	Refused atomic.Uint64
+	// ColdForwarded, ColdDropped and ColdRefused count new flows that were passed on, dropped and
+	// reset because the server is cold and has received as many as it can accept.
+	ColdForwarded, ColdDropped, ColdRefused atomic.Uint64
+	// AssumedRestarts counts restarts of the server that were inferred before a ping stated them.
+	AssumedRestarts atomic.Uint64
 	// Bounced counts packets that the server bounced because it does not hold their flow.
 	Bounced atomic.Uint64
 	// Learned counts flows added to the table from packets of the server.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -81,6 +81,10 @@
 		a.forwardSyn(e, flow, raw, rest)
 		return
 	}
+	if a.coldLimitReached(now) {
+		a.declineCold(e, p, raw, rest, now)
+		return
+	}
 	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Open {
 		a.deliverSyn(e, entry, p, rest, now)
 		return
@@ -130,6 +134,7 @@
 }
 
 func (a *Agent) deliverSyn(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
+	a.countSyn(now)
 	entry.RecordCallerPacket(p, now)
 	a.sendReport(e.Balancer, entry.Flow, now)
 	a.deliver(e, p, rest, now)
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -30,6 +30,20 @@
 		k.evacuated, k.evacuationsAt = n.Evacuated, n.EvacuationsAt
 	}
 	if n.ServerKnown && n.Born >= k.born {
-		k.born, k.coldUntil, k.coldFlowsPerSecond = n.Born, now.Add(n.Warmup), n.ColdFlowsPerSecond
+		k.recordWarmup(n, now)
+		k.born, k.coldFlowsPerSecond = n.Born, n.ColdFlowsPerSecond
+	}
+}
+
+// recordWarmup records when the server stops being cold. A ping that states no remaining time leaves
+// an end that has passed as it is.
+func (k *noticed) recordWarmup(n steer.Notice, now time.Time) {
+	switch {
+	case n.Warmup > 0:
+		k.coldUntil = now.Add(n.Warmup)
+	case n.Born > k.born:
+		k.coldUntil = time.Time{}
+	case k.coldUntil.After(now):
+		k.coldUntil = now
 	}
 }
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -38,6 +40,9 @@
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.silent(now) {
+		a.recordRestart(a.unansweredSince, "answersAfterSilence", now)
+	}
 	a.unansweredSince = time.Time{}
 	a.logSilence(now)
 	if p.Bounced {
@@ -120,6 +125,7 @@
 		a.table.Remove(flow)
 		a.deliverHeld(now)
 		if held && !p.Syn {
+			a.recordRestart(lo.Latest(entry.OpenedAt, a.startedAt), "openFlowBounced", now)
 			a.config.Log.Info("flowReset").Stringer("flow", flow).Str("reason", "serverRestarted").Send()
 			a.reset(flow, p.AckSeq)
 			return
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/bergamotgw/bergamotgw/internal/coldstart"
 	"github.com/bergamotgw/bergamotgw/internal/dispatch"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
@@ -54,6 +55,10 @@
 	MaxFlow time.Duration
 	// Codec reads and marks packets.
 	Codec packet.Codec
+	// WarmupOverage and WarmupSlack bound the new flows that a cold server receives in any second:
+	// its stated rate times WarmupOverage, plus WarmupSlack. 0 for WarmupOverage means that the
+	// deployment states no bound; then the rate alone applies.
+	WarmupOverage, WarmupSlack float64
 	// Observe is called at the first bytes of an answer. It receives whether the request
 	// must not run twice, the time since the caller sent it, and the part of that time
 	// after its delivery to the server.
@@ -120,6 +125,10 @@
 	leaving      bool
 	// noticed is what balancers have stated about the server.
 	noticed noticed
+	// syns counts the opening packets that were delivered to the server, and restart is the
+	// evidence that it has restarted.
+	syns    coldstart.Limiter
+	restart restart
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -248,6 +257,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startedBeforeServer = true
+	a.recordRestart(a.startedAt, "serverDown", a.config.Clock.Now())
 }
 
 // tableComplete reports whether the table holds every open flow of the server: the server
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -54,6 +54,8 @@
 		Codec:           platform.PacketCodec(),
 		Observe:         a.metrics.Answers(s.Service),
 		RequestIDHeader: s.RequestIDHeader,
+		WarmupOverage:   s.WarmupOverage,
+		WarmupSlack:     s.WarmupSlack,
 		Clock:           a.clock,
 		Digest:          a.handleDigest,
 		Log:             l,
