Offer flows to cold servers at the rate that they accept

Balancers preferred idle cold servers, whose agents then had to pass most SYNs on. Each balancer estimates its share of a cold server's rate from what the server's agent admits, and sorts the server last between its turns. The end of the warm-up is the earliest that any reading allows, because an entry states what was left when it was written.

--- a/internal/packetbalancer/counts.go
+++ b/internal/packetbalancer/counts.go
@@ -22,6 +22,9 @@
 	Reset atomic.Uint64
 	// Refused counts new flows that were reset because no server was available.
 	Refused atomic.Uint64
+	// ColdAdmitted counts new flows that were offered first to a cold server with a limit and were
+	// admitted there, ColdPassedOn those that were not.
+	ColdAdmitted, ColdPassedOn atomic.Uint64
 	// NoRoute counts packets to addresses without a route.
 	NoRoute atomic.Uint64
 	// NoServer counts packets of services without a server.
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -200,6 +200,7 @@
 	delete(b.queries.byFlow, flow)
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
+		b.recordOutcome(flow, from)
 		b.cache.Put(flow, cacheEntry{agent: from})
 	}
 }
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -192,6 +192,7 @@
 func (b *Balancer) SetRoutes(r catalog.Routes) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.selection.SetColdRates(r.ColdFlowsPerSecond)
 	if b.routes.Record(r, b.config.Clock.Now()) {
 		b.selection.NameServices(r.ServiceNames())
 	}
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -140,6 +140,7 @@
 	}
 	b.recordNotHeld(n)
 	if !n.Searched {
+		b.recordOutcome(n.Flow, netip.AddrPort{})
 		return
 	}
 	b.endSearchPath(n)
--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -39,7 +39,7 @@
 	perFlow := s.requestsPerFlow()
 	for i := range s.scored {
 		c := &s.scored[i]
-		c.score = s.delay(c.agent, e.Class, perFlow, now)
+		c.score = s.delay(c.agent, e.Class, perFlow, now) + s.coldDelay(c.agent, now)
 	}
 	s.sort(func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	for _, c := range s.scored[:min(len(s.scored), MaxChoices)] {
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -94,10 +94,15 @@
 		a.recentlyStarted = v.Warmup > 0 || a.startedTogether
 		s.agents[at], s.tracked[at] = a, a
 		a.Server = v
+		a.WarmUntil = now.Add(v.Warmup)
 		s.recordChange(a)
 	}
 	a.Server, a.UnlistedSince = v, time.Time{}
-	a.WarmUntil = now.Add(v.Warmup)
+	// An entry states the time that was left when it was written, so each is an upper bound. An
+	// entry without a start may be that of a restarted server.
+	if until := now.Add(v.Warmup); v.Born == 0 || until.Before(a.WarmUntil) {
+		a.WarmUntil = until
+	}
 }
 
 // recordChange records that an agent was added, replaced or removed. Foreign entries, which may
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/coldshare"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -86,6 +87,8 @@
 	UnlistedSince time.Time
 
 	hash uint64
+	// coldShare limits the new flows that are offered to the server while it is cold.
+	coldShare coldshare.Share
 	// recentlyStarted is true if the server had recently started when it was first
 	// listed: it was still warming up, or has started together with this balancer.
 	recentlyStarted bool
@@ -124,6 +127,8 @@
 	byService map[string][]*Agent
 	// named holds the services that a version of the routes has named; empty before the first.
 	named map[string]bool
+	// coldRates is how many new flows a second a cold server can accept, by service.
+	coldRates map[string]float64
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
 	// first read after an interval in which the platform was unavailable.
 	lastReadAt, readsResumedAt time.Time
@@ -212,6 +217,9 @@
 func (s *Selection) RecordPlacement(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
 		a.PlacedFlows++
+		if rate := s.coldRate(a, now); rate > 0 {
+			a.coldShare.RecordSent(rate, now)
+		}
 		a.LastUsedAt = now
 		s.awaitReport(a, now)
 	}
