--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -72,6 +72,18 @@
 	delete(p.servers, id)
 }
 
+// list returns the entries of servers, with the warm-up that is left now: servers write their
+// entries again and again.
+func (p *published) list(l *Lab) []catalog.Server {
+	left := lo.SliceToMap(l.servers, func(s *serverVM) (string, time.Duration) {
+		return s.entryID(), max(s.service.Cold-l.clock.Since(s.born), 0)
+	})
+	return lo.MapToSlice(p.servers, func(id string, v catalog.Server) catalog.Server {
+		v.Warmup = left[id]
+		return v
+	})
+}
+
 // balancerVM is a VM with a balancer.
 type balancerVM struct {
 	*vm
@@ -218,7 +230,7 @@
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = b.readAt
 	}
-	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.at, lo.Values(p.servers)))
+	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(catalog.NewServers(p.at, p.list(b.lab)))
 	b.balancer.SetRoutes(b.catalog.Routes)
 	b.balancer.SetServers(b.catalog.Servers)
 	for _, v := range b.catalog.Servers.List {
--- a/internal/lab/packetlab/explain_test.go
+++ b/internal/lab/packetlab/explain_test.go
@@ -45,7 +45,8 @@
 	})
 }
 
-// causes explains the flows that have failed since the last call.
+// causes explains the flows that have failed since the last call, from the whole log: a flow may
+// fail long after its last line.
 func causes(t *testing.T, d *datadriven.TestData, l *Lab, log *bytes.Buffer) string {
 	t.Helper()
 	var text string
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	right := strings.Fields(d.Input)
-	lines, err := explain.Read(log)
+	lines, err := explain.Read(bytes.NewReader(log.Bytes()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -16,7 +18,7 @@
 
 // SetRoutes publishes routes, one for each kind, to the service of the same index.
 func (l *Lab) SetRoutes(version uint64, kinds []Kind, services []string) {
-	routes := catalog.Routes{Version: version}
+	routes := catalog.Routes{Version: version, Services: lo.Keys(l.coldRates), ColdFlowsPerSecond: l.coldRates}
 	for i, k := range kinds {
 		priority := uint8(2)
 		if k.Once {
@@ -158,6 +160,17 @@
 	}
 }
 
+// RestartZone stops all servers of a zone and their agents simultaneously, and starts them again
+// after the given time.
+func (l *Lab) RestartZone(zone string, down time.Duration) {
+	for i, s := range l.servers {
+		if s.up && s.zone == zone {
+			l.RestartAgent(i, down)
+			l.CrashServer(i, down)
+		}
+	}
+}
+
 // KillAll stops all balancers and agents simultaneously, and starts them again after the
 // given time. The servers keep running.
 func (l *Lab) KillAll(down time.Duration) {
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,6 +74,9 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
+	// coldRates is how many new flows a second a cold server can accept, by service; empty if there
+	// are no limits.
+	coldRates map[string]float64
 	// outageFrom and outageUntil are when the last running balancer latest stopped, and when
 	// one then started.
 	outageFrom, outageUntil time.Time
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -79,9 +79,16 @@
 		names[i] = fmt.Sprintf("zone-%c", 'a'+i)
 	}
 	l := NewLab(uint64(seed), names...)
+	coldRate, cold := 0, passService.Cold.String()
+	d.MaybeScanArgs(t, "coldRate", &coldRate)
+	d.MaybeScanArgs(t, "cold", &cold)
+	service := passService
+	if service.Cold = duration(t, cold); coldRate > 0 {
+		l.coldRates = map[string]float64{service.Name: float64(coldRate)}
+	}
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	for i := range pass {
-		l.AddServer(names[i%zones], passService, passSpeeds[i%len(passSpeeds)])
+		l.AddServer(names[i%zones], service, passSpeeds[i%len(passSpeeds)])
 	}
 	for i := range portal {
 		l.AddServer(names[i%zones], portalService, 1)
@@ -179,6 +186,8 @@
 			l.ResetServer(index, length)
 		case "reuseAddress":
 			l.ReuseAddress(index, portalService, length)
+		case "restartZone":
+			l.RestartZone(l.zones[index%len(l.zones)], length)
 		case "losePower":
 			l.LosePower(length)
 		case "killAll":
--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -250,7 +250,9 @@
 
 // startAgent starts the agent process of a server.
 func (r *real) startAgent(s *serverVM) {
+	overage, slack := r.lab.warmupBounds()
 	r.start(s.vm, "agent", packetsettings.Agent{
+		WarmupOverage: overage, WarmupSlack: slack,
 		Common:   r.common(s.vm),
 		Service:  s.service.Name,
 		Relay:    s.relay(),
--- a/internal/lab/packetlab/rules.go
+++ b/internal/lab/packetlab/rules.go
@@ -101,9 +101,10 @@
 	}
 }
 
-// recordSyn checks that a SYN reached a server of the right service, and one that does not
-// drain.
+// recordSyn checks that a SYN reached a server of the right service, one that does not drain, and
+// one that is not cold or has received few in the last second.
 func (l *Lab) recordSyn(s *serverVM, f packet.Flow) {
+	l.recordColdSyn(s)
 	if service, ok := l.serviceOf(f); !ok || service != s.service.Name {
 		l.addFinding("service: SYN of flow %s for service %q reached a server of %q", f, service, s.service.Name)
 	}
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -39,6 +39,9 @@
 	alive bool
 	// resets is true while the server resets every flow on which it receives a request.
 	resets bool
+	// coldSyns holds the times of the opening packets that reached the server while it was cold, as
+	// far as they are less than a second old.
+	coldSyns []time.Time
 	// drainedAt is when the platform listed the server as draining; zero if it did not.
 	drainedAt time.Time
 
@@ -75,7 +78,7 @@
 	s.lab.nextID++
 	s.id = int(s.lab.nextID)
 	s.alive, s.state, s.born = true, catalog.Ready, s.lab.clock.Now()
-	s.drainedAt = time.Time{}
+	s.drainedAt, s.coldSyns = time.Time{}, nil
 	s.flows = make(map[packet.Flow]*serverFlow)
 	s.inFlight, s.waiting = 0, nil
 	if s.lab.real != nil {
@@ -92,7 +95,9 @@
 		l.real.startAgent(s)
 		return
 	}
+	overage, slack := l.warmupBounds()
 	s.agent = packetagent.NewAgentWithTransport(packetagent.Config{
+		WarmupOverage: overage, WarmupSlack: slack,
 		Service:    catalog.ServiceID(s.service.Name),
 		Relay:      s.relay(),
 		CallerPort: callerPort,
