Document the limit of cold servers, and explain flows that it refused

Events, metrics, settings, the fields of the ping, the note on the design, and two causes of explain. Tests of packetmetrics and explain pass.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -34,6 +34,10 @@
 		{event: "flowRefused", matches: reason("noServer"), name: "refusedNoServer", text: func(l Line) string {
 			return fmt.Sprintf("refused, not run: %s had no server of service %v", l.VM, l.Fields["service"])
 		}},
+		{event: "flowRefused", matches: reason("coldServers"), name: "refusedCold", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: the cold server beside %s had received %v new flows within a second, of %v a second that it accepts, and no other candidate was left",
+				l.VM, l.Fields["inSecond"], l.Fields["perSecond"])
+		}},
 		{event: "noRoute", name: "noRoute", text: func(l Line) string {
 			return fmt.Sprintf("no route: version %v of the routes at %s does not have the address", l.Fields["routes"], l.VM)
 		}},
@@ -71,6 +75,10 @@
 		{event: "flowNotPlaced", name: "notPlaced", text: func(l Line) string {
 			return fmt.Sprintf("not run: %s had no server of service %v that admits new flows, and waited for one to return", l.VM, l.Fields["service"])
 		}},
+		{event: "coldLimitReached", matches: outcome("dropped"), name: "droppedCold", text: func(l Line) string {
+			return fmt.Sprintf("not run: the cold server beside %s had received %v new flows within a second and awaited a copy of the SYN, which did not arrive or found no room",
+				l.VM, l.Fields["inSecond"])
+		}},
 		{event: "flowNotFound", name: "lost", text: func(Line) string {
 			return "lost: none of the agents that answered holds the flow, and some did not answer"
 		}},
@@ -90,6 +98,10 @@
 	return func(l Line) bool { return l.Fields["reason"] == want }
 }
 
+func outcome(want string) func(Line) bool {
+	return func(l Line) bool { return l.Fields["outcome"] == want }
+}
+
 func held(l Line) bool {
 	return l.Fields["held"] == true
 }
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/directory"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
@@ -55,6 +56,8 @@
 	m.counter("searches_inconclusive_total", "Searches that found no holder of a flow and could not prove that there is none.", c.Inconclusive.Load)
 	m.counter("flows_not_held_total", "Open flows reset because no server holds them.", c.Reset.Load)
 	m.counter("flows_refused_total", "New flows reset because their service has no server.", c.Refused.Load)
+	m.counter("cold_flows_admitted_total", "New flows offered first to a cold server with a limit and admitted there.", c.ColdAdmitted.Load)
+	m.counter("cold_flows_passed_on_total", "New flows offered first to a cold server with a limit and not admitted there.", c.ColdPassedOn.Load)
 	m.counter("packets_without_route_total", "Packets to addresses without a route.", c.NoRoute.Load)
 	m.counter("packets_without_server_total", "Packets of services without a server.", c.NoServer.Load)
 	m.counter("datagrams_malformed_total", "Datagrams that could not be decoded.", c.Malformed.Load)
@@ -82,6 +85,10 @@
 	m.counter("packets_returned_total", "Packets returned to their balancer.", c.Returned.Load)
 	m.counter("flows_lost_total", "Packets whose flow no candidate holds or admits.", c.NotFound.Load)
 	m.counter("flows_refused_total", "New flows reset because their expected delay reached the timeout.", c.Refused.Load)
+	m.counter("cold_flows_passed_on_total", "New flows passed on because the server is cold and has received as many as it can accept.", c.ColdForwarded.Load)
+	m.counter("cold_flows_dropped_total", "New flows dropped for that reason whose caller's next copy can be admitted.", c.ColdDropped.Load)
+	m.counter("cold_flows_refused_total", "New flows reset for that reason.", c.ColdRefused.Load)
+	m.counter("server_restarts_assumed_total", "Restarts of the server that were inferred before a balancer stated them.", c.AssumedRestarts.Load)
 	m.counter("packets_bounced_total", "Packets that the server bounced because it does not hold their flow.", c.Bounced.Load)
 	m.counter("flows_learnt_total", "Flows added to the table from packets of the server.", c.Learned.Load)
 	m.counter("server_asked_total", "Packets of unknown flows delivered to the server to find out whether it holds the flow.", c.ServerQueries.Load)
@@ -95,6 +102,9 @@
 	m.counter("datagrams_unsent_total", "Datagrams that could not be sent.", c.SendFailed.Load)
 	m.gauge("flows", "Flows in the table.", func() float64 { return float64(a.Flows()) })
 	m.gauge("requests", "Requests that are queued or running.", func() float64 { return float64(a.PendingRequests()) })
+	m.gauge("server_cold", "1 while the server counts as cold and its new flows are limited, otherwise 0.", func() float64 {
+		return lo.Ternary(a.ColdLimited(), 1.0, 0)
+	})
 	m.gauge("server_silent", "1 while the server does not answer, otherwise 0.", func() float64 {
 		if a.Load().State == steer.Silent {
 			return 1
