Refuse flows of low priority that can only be late in an overload

Priority ordered only the queue of an agent, and a SYN was refused only if every candidate expected a delay beyond the timeout. The agent that must admit a flow now refuses it at once if it would be late while kinds of higher priority compete and its kind has had a twentieth of the admitted flows, or if its caller was refused in the last second or two. No effect with equal priorities or on open flows.

--- a/internal/packetagent/cold.go
+++ b/internal/packetagent/cold.go
@@ -134,6 +134,7 @@
 		a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "coldServers").Uint8("hop", hop).Uint8("of", e.Count).Bool("take", e.MustAdmit).
 			Int("inSecond", a.syns.Count(now)).Float64("perSecond", a.noticed.coldFlowsPerSecond).Uint16("objectiveMillis", e.Class.TargetMillis).Send()
 		a.sendNotFound(e, flow, false)
+		a.shedder.RecordRefused(flow)
 		a.reset(flow, p.AckSeq)
 	}
 }
--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -19,6 +19,9 @@
 	ColdForwarded, ColdDropped, ColdRefused atomic.Uint64
 	// AssumedRestarts counts restarts of the server that were inferred before a ping stated them.
 	AssumedRestarts atomic.Uint64
+	// ShedPriority and ShedRetry count new flows that were reset because they would have been
+	// answered late while kinds of higher priority competed, or as retries of refused ones.
+	ShedPriority, ShedRetry atomic.Uint64
 	// Bounced counts packets that the server bounced because it does not hold their flow.
 	Bounced atomic.Uint64
 	// Learned counts flows added to the table from packets of the server.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -97,6 +97,7 @@
 		return
 	}
 	delay, ready := a.delay(now)
+	a.recordOffer(e, now)
 	if !ready && !e.MustAdmit && !a.decline(e, flow, raw, rest, delay) {
 		return
 	}
@@ -104,6 +105,9 @@
 		a.refuse(e, p, delay, timeout)
 		return
 	}
+	if !ready && a.shed(e, p, delay, now) {
+		return
+	}
 	a.admit(e, p, rest, delay, now)
 }
 
@@ -117,6 +121,7 @@
 	entry.Class, entry.OpenedAt = e.Class, now.Add(-copyAge(p.AckSeq))
 	a.expected[flow] = now
 	a.counts.Admitted.Add(1)
+	a.shedder.RecordAdmitted(e.Class, now)
 	a.deliverSyn(e, entry, p, rest, now)
 }
 
@@ -315,6 +320,7 @@
 	a.counts.Refused.Add(1)
 	a.config.Log.Warn("flowRefused").Stringer("flow", flow).Str("reason", "overload").
 		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
+	a.shedder.RecordRefused(flow)
 	a.reset(flow, p.AckSeq)
 }
 
--- a/internal/packetagent/overload_test.go
+++ b/internal/packetagent/overload_test.go
@@ -99,3 +99,39 @@
 		t.Errorf("%d requests outstanding when the others are late, want the %d that run", got, running)
 	}
 }
+
+// TestLowPriorityInOverload guards against flows of low priority that take the server's time from
+// others although they can only be answered late, and against refusals of copies and of open flows.
+func TestLowPriorityInOverload(t *testing.T) {
+	a := newBenchAgent()
+	var resets int
+	a.transport.SendFleetDatagram = func(_ []byte, to netip.AddrPort) error {
+		if to.Addr() == netip.AddrFrom4([4]byte{100, 64, 0, 1}) {
+			resets++
+		}
+		return nil
+	}
+	a.service.Observe(30*time.Millisecond, 1, 2)
+	for n := range 10 {
+		a.open(n)
+	}
+	low := func(n int, number uint32) []byte {
+		raw := newFlow(n, number)
+		raw[5] = 2 // The offset of the priority in an envelope.
+		return raw
+	}
+	a.HandleFleetDatagram(low(999, 0), balancer) // The share that the kind keeps.
+	a.HandleFleetDatagram(low(1000, 1), balancer)
+	if shed := a.counts.ShedPriority.Load(); shed != 1 || resets != 0 {
+		t.Errorf("%d flows shed and %d resets after a copy, want 1 and 0", shed, resets)
+	}
+	a.HandleFleetDatagram(low(1001, 0), balancer)
+	a.HandleFleetDatagram(low(1002, 0), balancer)
+	if shed, retries := a.counts.ShedPriority.Load(), a.counts.ShedRetry.Load(); shed != 2 || retries != 1 || resets != 2 {
+		t.Errorf("%d flows and %d retries shed, %d resets, want 2, 1 and 2", shed, retries, resets)
+	}
+	a.HandleFleetDatagram(newFlow(1003, 0), balancer)
+	if admitted := a.counts.Admitted.Load(); admitted != 12 || a.Flows() != 12 {
+		t.Errorf("%d flows admitted and %d in the table, want 12", admitted, a.Flows())
+	}
+}
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -21,6 +21,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
+	"github.com/bergamotgw/bergamotgw/internal/shedding"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
 )
@@ -129,6 +130,8 @@
 	// evidence that it has restarted.
 	syns    coldstart.Limiter
 	restart restart
+	// shedder decides which new flows are refused while the servers of the service are full.
+	shedder *shedding.Shedder
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -205,6 +208,7 @@
 		subscribers:   make(map[netip.AddrPort]time.Time),
 		bounced:       recent.NewMap[packet.Flow, struct{}](c.Clock, c.MaxFlow/2, maxBouncedFlows),
 		rate:          rateMeter{windowStart: now},
+		shedder:       shedding.NewShedder(c.Clock),
 	}
 }
 
