--- a/internal/lab/packetlab/caller.go
+++ b/internal/lab/packetlab/caller.go
@@ -283,11 +283,15 @@
 // recordSuccess counts a request that was served; f is its flow if it stays open.
 func (c *caller) recordSuccess(r *request, f *callerFlow) {
 	r.ended = true
+	ofKind := c.lab.byKind[r.kind.Name]
 	if c.lab.clock.Since(r.sent) <= r.kind.Target {
 		c.lab.tally.InTime++
+		ofKind.InTime++
 	} else {
 		c.lab.tally.Late++
+		ofKind.Late++
 	}
+	c.lab.byKind[r.kind.Name] = ofKind
 	r.done(f)
 }
 
@@ -316,6 +320,9 @@
 func (c *caller) recordFailure(r *request, f *callerFlow) {
 	r.ended = true
 	c.lab.tally.Failed++
+	ofKind := c.lab.byKind[r.kind.Name]
+	ofKind.Failed++
+	c.lab.byKind[r.kind.Name] = ofKind
 	if !r.sent.Before(c.lab.outageFrom) && r.sent.Before(c.lab.outageUntil) {
 		c.lab.tally.Outage++
 	}
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,6 +74,8 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
+	// byKind holds the tally of each kind of request.
+	byKind map[string]Tally
 	// coldRates is how many new flows a second a cold server can accept, by service; empty if there
 	// are no limits.
 	coldRates map[string]float64
@@ -123,6 +125,7 @@
 		placedBy:  make(map[flowKey]*balancerVM),
 		onceIDs:   make(map[uint64]bool),
 		ranIDs:    make(map[uint64]bool),
+		byKind:    make(map[string]Tally),
 	}
 }
 
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"strings"
 	"testing"
@@ -24,6 +25,8 @@
 	sessionKind  = Kind{Name: "session", Address: address(1), Long: true, Work: 15 * time.Millisecond, AnswerLen: 2000, Target: 100 * time.Millisecond, Timeout: 1500 * time.Millisecond}
 	purchaseKind = Kind{Name: "purchase", Address: address(2), Once: true, Work: 20 * time.Millisecond, RequestLen: 900, AnswerLen: 600, Target: 120 * time.Millisecond, Timeout: 2 * time.Second}
 	pageKind     = Kind{Name: "page", Address: address(3), Work: 5 * time.Millisecond, AnswerLen: 40_000, Target: 500 * time.Millisecond, Timeout: 8 * time.Second}
+	// offerKind competes with purchases for the pass servers, at a lower priority.
+	offerKind = Kind{Name: "offer", Address: address(4), Work: 15 * time.Millisecond, AnswerLen: 2000, Target: 100 * time.Millisecond, Timeout: 1500 * time.Millisecond}
 )
 
 // passSpeeds are the speeds of the pass servers, assigned in turn: one in four is slow.
@@ -87,6 +90,9 @@
 		l.coldRates = map[string]float64{service.Name: float64(coldRate)}
 	}
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
+	if d.HasArg("offers") {
+		l.SetRoutes(2, []Kind{sessionKind, purchaseKind, pageKind, offerKind}, []string{"pass", "pass", "portal", "pass"})
+	}
 	for i := range pass {
 		l.AddServer(names[i%zones], service, passSpeeds[i%len(passSpeeds)])
 	}
@@ -120,28 +126,37 @@
 	}))
 }
 
-// load adds callers, distributed over the zones. Each keeps sessions, and sends purchases and
-// requests for pages. The rates are those of all callers together, in requests per second.
+// load adds callers, distributed over the zones, until the end or for a given time. Each keeps sessions, and sends purchases and
+// requests for pages and offers. The rates are those of all callers together, in requests per second.
 func load(t *testing.T, d *datadriven.TestData, l *Lab) {
-	callers, sessions, sessionRate, purchaseRate, pageRate := 98, 3, 292, 83, 25
+	callers, sessions, sessionRate, purchaseRate, pageRate, offerRate := 98, 3, 292, 83, 25, 0
 	d.MaybeScanArgs(t, "callers", &callers)
 	d.MaybeScanArgs(t, "sessions", &sessions)
 	d.MaybeScanArgs(t, "sessionRate", &sessionRate)
 	d.MaybeScanArgs(t, "purchaseRate", &purchaseRate)
 	d.MaybeScanArgs(t, "pageRate", &pageRate)
+	d.MaybeScanArgs(t, "offerRate", &offerRate)
+	until := loadUntil
+	if length := ""; d.HasArg("for") {
+		d.ScanArgs(t, "for", &length)
+		until = l.Elapsed() + duration(t, length)
+	}
 	each := func(rate, users int) time.Duration {
 		return time.Duration(float64(time.Second) * float64(users) / float64(max(rate, 1)))
 	}
 	for i := range callers {
 		c := l.AddCaller(l.zones[i%len(l.zones)])
 		for range sessions {
-			c.Load(sessionKind, each(sessionRate, callers*sessions), loadUntil)
+			c.Load(sessionKind, each(sessionRate, callers*sessions), until)
 		}
 		if purchaseRate > 0 {
-			c.Load(purchaseKind, each(purchaseRate, callers), loadUntil)
+			c.Load(purchaseKind, each(purchaseRate, callers), until)
 		}
 		if pageRate > 0 {
-			c.Load(pageKind, each(pageRate, callers), loadUntil)
+			c.Load(pageKind, each(pageRate, callers), until)
+		}
+		if offerRate > 0 {
+			c.Load(offerKind, each(offerRate, callers), until)
 		}
 	}
 }
@@ -224,18 +239,27 @@
 }
 
 // play runs the Lab until the given time. It compares the requests that ended since the
-// previous play with the least shares that the command gives: served at all, and in time.
+// previous play with the least shares that the command gives: served at all, in time, and in time of
+// one kind, named by the kind.
 func play(t *testing.T, d *datadriven.TestData, l *Lab) string {
 	var until string
 	served, inTime := "0", "0"
 	d.ScanArgs(t, "until", &until)
 	d.MaybeScanArgs(t, "served", &served)
 	d.MaybeScanArgs(t, "inTime", &inTime)
-	before := l.tally
+	before, kindsBefore := l.tally, maps.Clone(l.byKind)
 	l.Run(duration(t, until))
 	got := l.tally.minus(before)
 	t.Logf("%s: until %s: %+v", d.Pos, until, got)
 	var out strings.Builder
+	for _, k := range []Kind{sessionKind, purchaseKind, pageKind, offerKind} {
+		of := l.byKind[k.Name].minus(kindsBefore[k.Name])
+		t.Logf("%s: %d in time, %d late, %d failed", k.Name, of.InTime, of.Late, of.Failed)
+		least := "0"
+		if d.MaybeScanArgs(t, k.Name, &least); least != "0" {
+			checkShare(&out, k.Name+" in time", of.InTime, of.Total(), least)
+		}
+	}
 	for _, f := range l.Findings {
 		_, _ = fmt.Fprintln(&out, f)
 	}
