--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -34,6 +34,14 @@
 		{event: "flowRefused", matches: reason("noServer"), name: "refusedNoServer", text: func(l Line) string {
 			return fmt.Sprintf("refused, not run: %s had no server of service %v", l.VM, l.Fields["service"])
 		}},
+		{event: "flowRefused", matches: reason("priority"), name: "refusedPriority", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: at %s it would have waited %v ms and missed its objective of %v ms, while kinds of higher priority than %v competed",
+				l.VM, l.Fields["expectedDelay"], l.Fields["objectiveMillis"], l.Fields["priority"])
+		}},
+		{event: "flowRefused", matches: reason("retry"), name: "refusedRetry", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: at %s it would have waited %v ms and missed its objective of %v ms, and its caller had been refused within the last seconds",
+				l.VM, l.Fields["expectedDelay"], l.Fields["objectiveMillis"])
+		}},
 		{event: "flowRefused", matches: reason("coldServers"), name: "refusedCold", text: func(l Line) string {
 			return fmt.Sprintf("refused, not run: the cold server beside %s had received %v new flows within a second, of %v a second that it accepts, and no other candidate was left",
 				l.VM, l.Fields["inSecond"], l.Fields["perSecond"])
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -89,6 +89,8 @@
 	m.counter("cold_flows_dropped_total", "New flows dropped for that reason whose caller's next copy can be admitted.", c.ColdDropped.Load)
 	m.counter("cold_flows_refused_total", "New flows reset for that reason.", c.ColdRefused.Load)
 	m.counter("server_restarts_assumed_total", "Restarts of the server that were inferred before a balancer stated them.", c.AssumedRestarts.Load)
+	m.counter("flows_shed_priority_total", "New flows reset because they would have been answered late while kinds of higher priority competed.", c.ShedPriority.Load)
+	m.counter("flows_shed_retry_total", "Retries of refused flows reset because they would have been answered late.", c.ShedRetry.Load)
 	m.counter("packets_bounced_total", "Packets that the server bounced because it does not hold their flow.", c.Bounced.Load)
 	m.counter("flows_learnt_total", "Flows added to the table from packets of the server.", c.Learned.Load)
 	m.counter("server_asked_total", "Packets of unknown flows delivered to the server to find out whether it holds the flow.", c.ServerQueries.Load)
