--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -94,6 +94,7 @@
 		if err != nil {
 			return err
 		}
+		d.recordIgnored(read.Routes.Faults, "config")
 		d.applyRoutes(read.Routes, "platform")
 	}
 	d.counts.Reads.Add(1)
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -37,6 +37,18 @@
 		{event: "flowRefused", matches: reason("evacuated"), name: "refusedEvacuated", text: func(l Line) string {
 			return fmt.Sprintf("refused, not run: every server that %s could have offered the flow to was in an evacuated availability zone", l.VM)
 		}},
+		{event: "flowRefused", matches: reason("priority"), name: "refusedPriority", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: at %s it would have waited %v ms and missed its objective of %v ms, while kinds of higher priority than %v competed",
+				l.VM, l.Fields["expectedDelay"], l.Fields["objectiveMillis"], l.Fields["priority"])
+		}},
+		{event: "flowRefused", matches: reason("retry"), name: "refusedRetry", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: at %s it would have waited %v ms and missed its objective of %v ms, and its caller had been refused within the last seconds",
+				l.VM, l.Fields["expectedDelay"], l.Fields["objectiveMillis"])
+		}},
+		{event: "flowRefused", matches: reason("coldServers"), name: "refusedCold", text: func(l Line) string {
+			return fmt.Sprintf("refused, not run: the cold server beside %s had received %v new flows within a second, of %v a second that it accepts, and no other candidate was left",
+				l.VM, l.Fields["inSecond"], l.Fields["perSecond"])
+		}},
 		{event: "noRoute", name: "noRoute", text: func(l Line) string {
 			return fmt.Sprintf("no route: version %v of the routes at %s does not have the address", l.Fields["routes"], l.VM)
 		}},
@@ -74,6 +86,10 @@
 		{event: "flowNotPlaced", name: "notPlaced", text: func(l Line) string {
 			return fmt.Sprintf("not run: %s had no server of service %v that admits new flows, and waited for one to return", l.VM, l.Fields["service"])
 		}},
+		{event: "coldLimitReached", matches: outcome("dropped"), name: "droppedCold", text: func(l Line) string {
+			return fmt.Sprintf("not run: the cold server beside %s had received %v new flows within a second and awaited a copy of the SYN, which did not arrive or found no room",
+				l.VM, l.Fields["inSecond"])
+		}},
 		{event: "flowNotFound", name: "lost", text: func(Line) string {
 			return "lost: none of the agents that answered holds the flow, and some did not answer"
 		}},
@@ -93,6 +109,10 @@
 	return func(l Line) bool { return l.Fields["reason"] == want }
 }
 
+func outcome(want string) func(Line) bool {
+	return func(l Line) bool { return l.Fields["outcome"] == want }
+}
+
 func held(l Line) bool {
 	return l.Fields["held"] == true
 }
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -77,6 +77,18 @@
 	delete(p.servers, id)
 }
 
+// list returns the entries of servers, with the warm-up that is left now: servers write their
+// entries again and again.
+func (p *published) list(l *Lab) []catalog.Server {
+	left := lo.SliceToMap(l.servers, func(s *serverVM) (string, time.Duration) {
+		return s.entryID(), max(s.service.Cold-l.clock.Since(s.born), 0)
+	})
+	return lo.MapToSlice(p.servers, func(id string, v catalog.Server) catalog.Server {
+		v.Warmup = left[id]
+		return v
+	})
+}
+
 // balancerVM is a VM with a balancer.
 type balancerVM struct {
 	*vm
@@ -233,7 +245,7 @@
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = b.readAt
 	}
-	servers := catalog.NewServers(p.at, lo.Values(p.servers)).WithEvacuations(b.evacuations())
+	servers := catalog.NewServers(p.at, p.list(b.lab)).WithEvacuations(b.evacuations())
 	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(servers)
 	b.balancer.SetRoutes(b.catalog.Routes)
 	b.balancer.SetServers(b.catalog.Servers)
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,6 +74,11 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
+	// byKind holds the tally of each kind of request.
+	byKind map[string]Tally
+	// coldRates is how many new flows a second a cold server can accept, by service; empty if there
+	// are no limits.
+	coldRates map[string]float64
 	// outageFrom and outageUntil are when the last running balancer latest stopped, and when
 	// one then started.
 	outageFrom, outageUntil time.Time
@@ -129,6 +134,7 @@
 		onceIDs:   make(map[uint64]bool),
 		ranIDs:    make(map[uint64]bool),
 		requests:  make(map[string]evacuation),
+		byKind:    make(map[string]Tally),
 	}
 }
 
--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -17,6 +17,14 @@
 	Refused atomic.Uint64
 	// Evacuated counts SYN packets that were not delivered because the zone is evacuated.
 	Evacuated atomic.Uint64
+	// ColdForwarded, ColdDropped and ColdRefused count new flows that were passed on, dropped and
+	// reset because the server is cold and has received as many as it can accept.
+	ColdForwarded, ColdDropped, ColdRefused atomic.Uint64
+	// AssumedRestarts counts restarts of the server that were inferred before a ping stated them.
+	AssumedRestarts atomic.Uint64
+	// ShedPriority and ShedRetry count new flows that were reset because they would have been
+	// answered late while kinds of higher priority competed, or as retries of refused ones.
+	ShedPriority, ShedRetry atomic.Uint64
 	// Bounced counts packets that the server bounced because it does not hold their flow.
 	Bounced atomic.Uint64
 	// Learned counts flows added to the table from packets of the server.
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -82,6 +82,10 @@
 		a.forwardSyn(e, flow, raw, rest)
 		return
 	}
+	if a.coldLimitReached(now) {
+		a.declineCold(e, p, raw, rest, now)
+		return
+	}
 	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Open {
 		a.deliverSyn(e, entry, p, rest, now)
 		return
@@ -98,6 +102,7 @@
 		return
 	}
 	delay, ready := a.delay(now)
+	a.recordOffer(e, now)
 	if !ready && !e.MustAdmit && !a.decline(e, flow, raw, rest, delay) {
 		return
 	}
@@ -105,6 +110,9 @@
 		a.refuse(e, p, delay, timeout)
 		return
 	}
+	if !ready && a.shed(e, p, delay, now) {
+		return
+	}
 	a.admit(e, p, rest, delay, now)
 }
 
@@ -118,6 +126,7 @@
 	entry.Class, entry.OpenedAt = e.Class, now.Add(-copyAge(p.AckSeq))
 	a.expected[flow] = now
 	a.counts.Admitted.Add(1)
+	a.shedder.RecordAdmitted(e.Class, now)
 	a.deliverSyn(e, entry, p, rest, now)
 }
 
@@ -135,6 +144,7 @@
 }
 
 func (a *Agent) deliverSyn(e *steer.Envelope, entry *flowtable.Entry, p packet.Packet, rest []byte, now time.Time) {
+	a.countSyn(now)
 	entry.RecordCallerPacket(p, now)
 	a.sendReport(e.Balancer, entry.Flow, now)
 	a.deliver(e, p, rest, now)
@@ -315,6 +325,7 @@
 	a.counts.Refused.Add(1)
 	a.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("reason", "overload").
 		Dur("expectedDelay", delay).Dur("timeout", timeout).Send()
+	a.shedder.RecordRefused(flow)
 	a.reset(flow, p.AckSeq)
 }
 
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/bergamotgw/bergamotgw/internal/coldstart"
 	"github.com/bergamotgw/bergamotgw/internal/completeness"
 	"github.com/bergamotgw/bergamotgw/internal/dispatch"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
@@ -21,6 +22,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
+	"github.com/bergamotgw/bergamotgw/internal/shedding"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/internal/udpsocket"
 )
@@ -55,6 +57,10 @@
 	MaxFlow time.Duration
 	// Codec reads and marks packets.
 	Codec packet.Codec
+	// WarmupOverage and WarmupSlack bound the new flows that a cold server receives in any second:
+	// its stated rate times WarmupOverage, plus WarmupSlack. 0 for WarmupOverage means that the
+	// deployment states no bound; then the rate alone applies.
+	WarmupOverage, WarmupSlack float64
 	// Observe is called at the first bytes of an answer. It receives whether the request
 	// must not run twice, the time since the caller sent it, and the part of that time
 	// after its delivery to the server.
@@ -123,6 +129,12 @@
 	// is zero if that is unknown, or after a packet of a server on a flow: the time of day may have
 	// been set back since. What the server only bounces shows that it holds no flow.
 	noServerAt time.Time
+	// syns counts the opening packets that were delivered to the server, and restart is the
+	// evidence that it has restarted.
+	syns    coldstart.Limiter
+	restart restart
+	// shedder decides which new flows are refused while the servers of the service are full.
+	shedder *shedding.Shedder
 	// active is the number of flows with recent packets at the latest sweep.
 	active int
 }
@@ -199,6 +211,7 @@
 		subscribers:   make(map[netip.AddrPort]time.Time),
 		bounced:       recent.NewMap[packet.Flow, struct{}](c.Clock, c.MaxFlow/2, maxBouncedFlows),
 		rate:          rateMeter{windowStart: now},
+		shedder:       shedding.NewShedder(c.Clock),
 	}
 }
 
@@ -252,6 +265,7 @@
 	defer a.mu.Unlock()
 	a.completeness.RecordServerDown()
 	a.noServerAt = a.config.Clock.Now()
+	a.recordRestart(a.completeness.Started(), "serverDown", a.config.Clock.Now())
 }
 
 // RecordServerStopped records that no server runs now, and reports that to the balancers: the
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -109,6 +109,7 @@
 		first = b.selection.Agent(e.Candidates[0].Agent)
 		b.selection.RecordPlacement(first.Address, now)
 	}
+	unpinged := b.selection.NeverPingedOf(&e)
 	reason := ""
 	switch {
 	case e.Count > 0:
@@ -133,6 +134,10 @@
 		Uint8("choices", e.Count).Uint16("outstanding", first.Load.Outstanding).Dur("reportAge", now.Sub(first.LastReportAt)).
 		Uint64("routes", b.config.Catalog().Routes.Version).Send()
 	b.cache.Put(flow, cacheEntry{agent: e.Candidates[0].Agent})
+	if len(unpinged) > 0 {
+		// The ping tells an agent what limits its server before it decides about the flow.
+		b.ping(unpinged, now)
+	}
 	b.send(&e, buf)
 }
 
@@ -208,6 +213,7 @@
 	delete(b.queries.byFlow, flow)
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
+		b.recordOutcome(flow, from)
 		b.cache.Put(flow, cacheEntry{agent: from})
 	}
 }
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -86,9 +86,26 @@
 
 // NeverPinged returns those of the agents that have not been pinged yet.
 func (s *Selection) NeverPinged(agents []netip.AddrPort) []netip.AddrPort {
-	return lo.Filter(agents, func(at netip.AddrPort, _ int) bool {
-		return lo.SomeBy(s.byAddress[at], func(a *Agent) bool { return a.lastPingAt.IsZero() })
-	})
+	return lo.Filter(agents, func(at netip.AddrPort, _ int) bool { return s.neverPinged(at) })
+}
+
+// NeverPingedOf does the same for the candidates of an envelope.
+func (s *Selection) NeverPingedOf(e *steer.Envelope) (agents []netip.AddrPort) {
+	for _, c := range e.Candidates[:e.Count] {
+		if s.neverPinged(c.Agent) {
+			agents = append(agents, c.Agent)
+		}
+	}
+	return agents
+}
+
+func (s *Selection) neverPinged(at netip.AddrPort) bool {
+	for _, a := range s.byAddress[at] {
+		if a.lastPingAt.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // registrationPeriod is how long after the first reading of the list servers may still register
