Measure the recovery from a loss of power in the emulator

The delay of a reset, counted from the first packet that reaches a balancer with a catalog, is at most 0.96 s: the interval of readings, the delay that a reading must exceed, and the interval of reviews. Agents log tableCompleted or tableIncomplete.

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -257,6 +257,7 @@
 	}
 	l.after(callerDelay, func() {
 		if best.up && !best.cut {
+			l.recovery.recordArrived(f, best)
 			best.balancer.HandleCallerPacket(copied)
 		}
 	})
--- a/internal/lab/packetlab/caller.go
+++ b/internal/lab/packetlab/caller.go
@@ -306,6 +306,7 @@
 		if f.request == r {
 			f.request = nil
 			c.lab.failedFlows = append(c.lab.failedFlows, f.flow)
+			c.lab.recovery.recordWaited(f.flow)
 			f.finish()
 		}
 	}
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -74,6 +74,8 @@
 	// them that have run.
 	onceIDs, ranIDs map[uint64]bool
 	tally           Tally
+	// recovery measures the latest loss of power by LosePowerAndPlatform; nil if there was none.
+	recovery *recovery
 	// outageFrom and outageUntil are when the last running balancer latest stopped, and when
 	// one then started.
 	outageFrom, outageUntil time.Time
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 )
 
 // logFile is the file for the log of balancers and agents, to find the cause of a finding.
@@ -59,6 +60,8 @@
 		return ""
 	case "play":
 		return play(t, d, l)
+	case "recovery":
+		return checkRecovery(t, d, l)
 	default:
 		d.Fatalf(t, "unknown command %q", d.Cmd)
 		return ""
@@ -181,6 +184,8 @@
 			l.ReuseAddress(index, portalService, length)
 		case "losePower":
 			l.LosePower(length)
+		case "losePowerAndPlatform":
+			l.LosePowerAndPlatform(length, duration(t, age))
 		case "killAll":
 			l.KillAll(length)
 		case "platformDown":
@@ -239,6 +244,21 @@
 	return out.String()
 }
 
+// checkRecovery checks the times since the latest losePowerAndPlatform by which lost flows must be
+// reset first, and from which new ones must be open, and the longest delay of a reset.
+func checkRecovery(t *testing.T, d *datadriven.TestData, l *Lab) string {
+	var first, delay, admitted string
+	d.ScanArgs(t, "first", &first)
+	d.ScanArgs(t, "delay", &delay)
+	d.ScanArgs(t, "admitted", &admitted)
+	r := l.recovery
+	t.Logf("%s: %s", d.Pos, r)
+	if len(r.resets) == 0 || r.resets[0] > duration(t, first) || lo.Max(r.delays) > duration(t, delay) || r.admittedAt > duration(t, admitted) {
+		return r.String()
+	}
+	return "recovered"
+}
+
 // checkShare writes a line if fewer than the least share of the requests are in count, or if
 // there are none.
 func checkShare(out *strings.Builder, what string, count, total int, least string) {
--- a/internal/lab/packetlab/rules.go
+++ b/internal/lab/packetlab/rules.go
@@ -56,6 +56,7 @@
 // answer to the SYN.
 func (l *Lab) recordFlowOpened(s *serverVM, f packet.Flow) {
 	l.flows[f] = &flowRecord{server: s, born: s.born}
+	l.recovery.recordAdmitted(l.clock.Now())
 }
 
 // recordFlowClosed ends the checks of a flow.
@@ -134,6 +135,7 @@
 // no longer holds it. A server that resets a flow itself has closed it before.
 func (l *Lab) recordReset(f packet.Flow) {
 	l.tally.Resets++
+	l.recovery.recordTold(f, l.clock.Now())
 	if r := l.flows[f]; r != nil && !r.closed && r.server.alive && r.server.born.Equal(r.born) && !l.listIncomplete() {
 		l.addFinding("flow %s: reset although its server runs", f)
 	}
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bergamotgw/bergamotgw/internal/completeness"
 	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -35,9 +37,11 @@
 	if !n.ServerKnown || n.Service != a.config.Service {
 		return false
 	}
-	if completed = a.completeness.RecordServer(completeness.Server{Born: n.Born, CommonStart: n.CommonStart}, now); completed {
-		a.config.Log.Info("tableCompleted").Str("reason", string(a.completeness.Reason(now))).
-			Time("serverStarted", time.UnixMilli(n.Born)).Time("agentStarted", a.completeness.Started()).Send()
+	completed = a.completeness.RecordServer(completeness.Server{Born: n.Born, CommonStart: n.CommonStart}, now)
+	if completed || n.Born > k.born && !a.tableComplete(now) {
+		event := lo.Ternary(completed, "tableCompleted", "tableIncomplete")
+		a.config.Log.Info(event).Str("reason", string(a.completeness.Reason(now))).Bool("commonStart", n.CommonStart).
+			Dur("serverBefore", a.completeness.Started().Sub(time.UnixMilli(n.Born))).Send()
 	}
 	if n.Born >= k.born {
 		k.born, k.coldUntil, k.coldFlowsPerSecond = n.Born, now.Add(n.Warmup), n.ColdFlowsPerSecond
