Test which agents are asked again and when they are pinged

Scripts for the numbers of changes, including a service that is named later, and for an agent that passes a new flow on, which counted as silent.

--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -29,7 +29,8 @@
 // TestSelection runs scripts of lists, reports and pauses, and prints what is selected.
 // "servers" reads a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
 // [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N. "expired" adds
-// such servers as expired now.
+// such servers as expired now. "changed" prints the agents that were not covered by the latest
+// "holders".
 func TestSelection(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		start := time.Unix(1000, 0)
@@ -37,6 +38,7 @@
 		s := NewSelection("a", testPort, testRetain, testBounds(path), start)
 		revision := uint64(0)
 		var previous steer.Envelope
+		var denied uint64
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd != "outage" {
 				s.RecordRead(now)
@@ -95,7 +97,14 @@
 			case "walk":
 				return searchPath(t, d, s, &previous, now)
 			case "holders":
+				denied = s.changes
 				return holders(s, now)
+			case "changed":
+				h := s.Holders(1, []string{"pass"}, d.HasArg("all"), denied, now)
+				return strings.Join(lo.Map(h.Agents, func(a netip.AddrPort, _ int) string { return number(steer.Candidate{Agent: a}) }), " ")
+			case "unsure":
+				s.RecordUnsure(serverAddress(d.CmdArgs[0].Key))
+				return ""
 			case "walkZones":
 				_ = searchPath(t, d, s, &previous, now)
 				return strings.Join(lo.Map(previous.Candidates[:previous.Count], func(c steer.Candidate, _ int) string {
@@ -187,7 +196,7 @@
 	l := steer.Load{
 		Failures:    float32(failures) / 100,
 		Outstanding: uint16(outstanding), Flows: uint16(flows), RequestsPerSecond: float32(rate),
-		ServiceTime: time.Duration(service) * time.Millisecond,
+		ServiceTime: time.Duration(service) * time.Millisecond, TableComplete: d.HasArg("complete"),
 	}
 	name := ""
 	if d.MaybeScanArgs(t, "service", &name); name != "" {
