--- a/internal/directory/start.go
+++ b/internal/directory/start.go
@@ -23,7 +23,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return startread.Reader{
-		Rank: rank, Count: count, Heard: heard, Started: d.started, CalledAt: d.attemptedAt, Attempts: d.attempts,
+		Rank: rank, Count: count, Heard: heard, Seed: slices.Contains(d.config.Seeds, d.config.Self.Addr()), Started: d.started, CalledAt: d.attemptedAt, Attempts: d.attempts,
 		FirstLate:    d.pace(readInterval) + d.readDelay(rank, count),
 		LateInterval: d.config.Bounds.MaxReadingAge(),
 	}
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -79,6 +79,8 @@
 	// coldRates is how many new flows a second a cold server can accept, by service; empty if there
 	// are no limits.
 	coldRates map[string]float64
+	// recovery measures the latest loss of power by LosePowerAndPlatform; nil if there was none.
+	recovery *recovery
 	// outageFrom and outageUntil are when the last running balancer latest stopped, and when
 	// one then started.
 	outageFrom, outageUntil time.Time
--- a/internal/ondemand/ondemand.go
+++ b/internal/ondemand/ondemand.go
@@ -7,14 +7,15 @@
 
 const (
 	// interval is the least time between two readings on demand, and between two requests of a
-	// balancer: callers expect their answers within some 200 ms.
-	interval = 80 * time.Millisecond
+	// balancer. Callers expect their answers within some 200 ms, and besides the reading these take
+	// the query of the agents, the reset and another handshake.
+	interval = 40 * time.Millisecond
 	// requestsPerSecond limits the requests of all balancers that a reader receives.
 	requestsPerSecond = 1000
 	// burst is how many readings on demand a reader makes in a row, and refill the time after which
 	// it may make one more: calls of the platform cost money. All flows of a deployment are used
 	// within some seconds after a loss of power.
-	burst  = 100
+	burst  = 150
 	refill = time.Second
 )
 
--- a/internal/startread/startread.go
+++ b/internal/startread/startread.go
@@ -19,9 +19,10 @@
 	// two of them are never in a long call, which takes a second at most.
 	longEvery = 9
 	longStep  = 3
-	// unheardDelay is how long a balancer that has heard no other waits before its first attempt:
-	// digests take a round trip, or an interval between digests if the others start a moment later.
-	unheardDelay = 300 * time.Millisecond
+	// unheardDelay is how long a balancer that is no seed and has heard no other waits before its
+	// first attempt: some round trips, in which the seeds get a first answer and spread it. New flows
+	// of all callers wait for it.
+	unheardDelay = 100 * time.Millisecond
 	// alonePeriod is how long a balancer that knows no other calls as often as the first one, and
 	// aloneInterval how often it calls afterwards, and one that has heard none of those it knows:
 	// many that cannot reach each other must not all count as the first.
@@ -35,6 +36,9 @@
 	Rank, Count int
 	// Heard is true once another balancer has sent a digest.
 	Heard bool
+	// Seed is true if the settings of all balancers name this one: it need not hear others to know
+	// that few do as it does.
+	Seed bool
 	// Started is when it started.
 	Started time.Time
 	// CalledAt is when its latest attempt to read the platform began, and Attempts their number;
@@ -50,6 +54,8 @@
 // Due returns when the balancer begins its next attempt.
 func (r Reader) Due() time.Time {
 	switch {
+	case r.Seed && r.Attempts == 0:
+		return r.Started
 	case r.Rank >= Readers && r.Attempts == 0:
 		return r.Started.Add(r.FirstLate)
 	case r.Rank >= Readers:
@@ -67,7 +73,7 @@
 
 // Limit returns how long a call of the next attempt may take; 0 for the usual limit.
 func (r Reader) Limit() time.Duration {
-	if r.Rank >= Readers || (r.Attempts+longStep*r.Rank)%longEvery == longEvery-1 {
+	if r.Rank >= Readers && (!r.Seed || r.Attempts > 0) || (r.Attempts+longStep*r.Rank)%longEvery == longEvery-1 {
 		return 0
 	}
 	return shortLimit
--- a/internal/startread/startread_test.go
+++ b/internal/startread/startread_test.go
@@ -20,6 +20,7 @@
 		d.ScanArgs(t, "rank", &r.Rank)
 		d.ScanArgs(t, "of", &r.Count)
 		r.Heard = r.Count > 1 && !d.HasArg("unheard")
+		r.Seed = d.HasArg("seed")
 		var out []string
 		for now := start; now.Sub(start) <= 4*time.Second; {
 			now = maxTime(now, r.Due())
