--- a/internal/startread/startread.go
+++ b/internal/startread/startread.go
@@ -22,7 +22,7 @@
 	// unheardDelay is how long a balancer that is no seed and has heard no other waits before its
 	// first attempt: some round trips, in which the seeds get a first answer and spread it. New flows
 	// of all callers wait for it.
-	unheardDelay = 100 * time.Millisecond
+	unheardDelay = 50 * time.Millisecond
 	// alonePeriod is how long a balancer that knows no other calls as often as the first one, and
 	// aloneInterval how often it calls afterwards, and one that has heard none of those it knows:
 	// many that cannot reach each other must not all count as the first.
