--- a/internal/selection/choices.go
+++ b/internal/selection/choices.go
@@ -1,9 +1,9 @@
 package selection
 
 import (
-	"cmp"
 	"time"
 
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
@@ -15,7 +15,7 @@
 }
 
 // Choices appends to e the candidates of a new flow of the service, at most MaxChoices,
-// with the shortest expected delay first.
+// in the order of the placement.
 func (s *Selection) Choices(e *steer.Envelope, hash uint64, service string, now time.Time) {
 	s.near, s.far = s.near[:0], s.far[:0]
 	for _, a := range s.byService[service] {
@@ -36,42 +36,50 @@
 		s.unavailableSince[service] = now
 	}
 	s.sort(byScore)
-	perFlow := s.requestsPerFlow()
-	for i := range s.scored {
-		c := &s.scored[i]
-		c.score = s.delay(c.agent, e.Class, perFlow, now)
-	}
-	s.sort(func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	s.applyOrder(e.Class, now)
 	for _, c := range s.scored[:min(len(s.scored), MaxChoices)] {
 		e.Append(candidate(c.agent))
 	}
 }
 
-// delay returns the expected time to an answer of an agent to a new flow, in
-// seconds. It adds up the wait behind the requests that are outstanding, the queueing
-// caused by the requests that the agent's flows are expected to send, and penalties.
-func (s *Selection) delay(a *Agent, class steer.Class, perFlow float64, now time.Time) float64 {
-	serviceTime := a.serviceTime(now)
-	slots := float64(max(a.Server.Slots, 1))
-	waiting := float64(a.outstanding(now)) + 1 - slots
-	delay := serviceTime
-	if waiting > 0 {
-		delay += waiting * serviceTime / slots
+// applyOrder sorts the compared agents for a new flow of a class.
+func (s *Selection) applyOrder(class steer.Class, now time.Time) {
+	s.candidates = s.candidates[:0]
+	for i, c := range s.scored {
+		s.candidates = append(s.candidates, s.compared(i, c.agent, class, now))
+	}
+	s.order(s.candidates)
+	n := len(s.scored)
+	for _, c := range s.candidates {
+		s.scored = append(s.scored, s.scored[c.Index])
+	}
+	s.scored = append(s.scored[:0], s.scored[n:]...)
+}
+
+// compared returns what is known of an agent, under the given index.
+func (s *Selection) compared(index int, a *Agent, class steer.Class, now time.Time) flowplacement.Candidate {
+	c := flowplacement.Candidate{
+		Index:       index,
+		Outstanding: a.outstanding(now) - a.PlacedFlows,
+		Placed:      a.PlacedFlows,
+		Flows:       int(a.Load.Flows),
+		Rate:        float64(a.Load.RequestsPerSecond),
+		ServiceTime: a.serviceTime(now),
+		Slots:       int(max(a.Server.Slots, 1)),
+		ReportAge:   now.Sub(a.LastReportAt),
+		OwnZone:     a.Server.Zone == s.zone,
+		FaultCost:   failureCost * float64(a.Load.Failures) * float64(class.TargetMillis) / 1000,
 	}
-	demand := max(float64(a.Load.RequestsPerSecond), (float64(a.Load.Flows)+float64(a.PlacedFlows))*perFlow)
-	utilization := min(demand*serviceTime/slots, maxUtilization)
-	delay += serviceTime * utilization * utilization / (1 - utilization)
-	delay += failureCost * float64(a.Load.Failures) * float64(class.TargetMillis) / 1000
-	if a.Server.Zone != s.zone {
-		delay += otherZoneCost * float64(class.TargetMillis) / 1000
+	if !c.OwnZone {
+		c.ZoneCost = otherZoneCost * float64(class.TargetMillis) / 1000
 	}
 	switch {
 	case a.suspect(now):
-		delay += suspectPenalty
+		c.FaultCost += suspectPenalty
 	case a.Load.State == steer.Silent:
-		delay += silentPenalty
+		c.FaultCost += silentPenalty
 	}
-	return delay
+	return c
 }
 
 // Penalties, in seconds, that sort agents behind all that answer.
@@ -93,17 +101,3 @@
 	}
 	return serviceTime.Seconds()
 }
-
-// requestsPerFlow returns the mean rate of requests of a flow at the agents that are
-// compared, in requests per second; 0 if they have no flows.
-func (s *Selection) requestsPerFlow() float64 {
-	var rate, flows float64
-	for _, c := range s.scored {
-		rate += float64(c.agent.Load.RequestsPerSecond)
-		flows += float64(c.agent.Load.Flows)
-	}
-	if flows == 0 {
-		return 0
-	}
-	return rate / flows
-}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -1,4 +1,4 @@
-// Package selection chooses the candidate agents of a new flow by their expected delay,
+// Package selection chooses the candidate agents of a new flow by their load,
 // orders the agents that are searched for the holder of an unknown flow, and detects
 // agents that do not answer.
 package selection
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -52,9 +53,6 @@
 	// both lost power together: VMs start within 0.3 s of each other, and their clocks
 	// differ slightly.
 	maxStartSkew = time.Second
-	// maxUtilization bounds the queueing term of the expected delay, which has no limit
-	// as the utilization approaches 1.
-	maxUtilization = 0.97
 )
 
 // Agent is the state that a balancer stores for one agent and its backend server.
@@ -144,6 +142,10 @@
 	// near and far are scratch space for the agents of the own zone and of the others
 	// that are compared for a flow.
 	near, far topScored
+	// order sorts the agents that are compared for a new flow. candidates is scratch space for
+	// it.
+	order      func([]flowplacement.Candidate)
+	candidates []flowplacement.Candidate
 	// lastCutOffAt is when CutOff was last true.
 	lastCutOffAt time.Time
 }
@@ -164,6 +166,7 @@
 		unavailableSince: make(map[string]time.Time),
 		zone:             zone,
 		port:             agentPort,
+		order:            flowplacement.Best,
 		retain:           retain,
 		bounds:           b,
 		started:          started,
@@ -176,6 +179,12 @@
 	}
 }
 
+// SetOrder replaces the order of the agents that are compared for a new flow, which is by
+// expected delay.
+func (s *Selection) SetOrder(order func([]flowplacement.Candidate)) {
+	s.order = order
+}
+
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
 	for _, a := range s.byAddress[address] {
