Let a balancer demand a free slot for a new flow

An agent admits one flow more than its server has slots, so the first request of that flow waits although another server idles. A flag of the envelope now makes agents without a free slot pass the flow on; at the end of the list the agent with the shortest delay admits it as before. Older agents ignore the bit. Nothing sets the flag yet. Tests of steer and packetagent pass.

--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -92,7 +92,7 @@
 		}
 		return
 	}
-	delay, ready := a.delay(now)
+	delay, ready := a.delay(now, e.FreeSlot)
 	if !ready && !e.MustAdmit && !a.decline(e, flow, raw, rest, delay) {
 		return
 	}
--- a/internal/packetagent/requests.go
+++ b/internal/packetagent/requests.go
@@ -59,8 +59,9 @@
 }
 
 // delay returns how long a further request would wait for the server, and whether
-// a new flow may be admitted without an offer to other candidates.
-func (a *Agent) delay(now time.Time) (time.Duration, bool) {
+// a new flow may be admitted without an offer to other candidates: if its request finds a free
+// slot or, unless freeSlot is set, one of the extra places.
+func (a *Agent) delay(now time.Time, freeSlot bool) (time.Duration, bool) {
 	if a.leaving || a.silent(now) {
 		return silentDelay, false
 	}
@@ -69,7 +70,7 @@
 	if over <= 0 {
 		return 0, true
 	}
-	return time.Duration(over) * a.service.Mean() / time.Duration(slots), over <= extraRequests
+	return time.Duration(over) * a.service.Mean() / time.Duration(slots), !freeSlot && over <= extraRequests
 }
 
 // deliverPacket sends a packet of an open flow to the server, or holds it if it begins a
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -74,6 +74,7 @@
 	onceFlag      = 8
 	moreFlag      = 16
 	directFlag    = 64
+	freeSlotFlag  = 128
 )
 
 // Candidate is an agent that may hold or admit a flow.
@@ -117,6 +118,9 @@
 	Attempt uint8
 	// MustAdmit is true if the agent has to admit a new flow whatever its load.
 	MustAdmit bool
+	// FreeSlot is true if an agent without a free slot passes a new flow on, unless MustAdmit is
+	// set. Agents of older programs admit one more flow than they have slots.
+	FreeSlot bool
 	// Hop is the index of the candidate that the datagram is addressed to; below Count.
 	Hop uint8
 	// Count is the number of valid candidates.
@@ -147,7 +151,7 @@
 // is cheaper than a new envelope.
 func (e *Envelope) Clear() {
 	clear(e.Candidates[:e.Count])
-	e.Kind, e.Cached, e.Direct, e.More, e.MustAdmit = 0, false, false, false, false
+	e.Kind, e.Cached, e.Direct, e.More, e.MustAdmit, e.FreeSlot = 0, false, false, false, false, false
 	e.Page, e.Attempt, e.ListVersion, e.Hop, e.Count = 0, 0, 0, 0, 0
 	e.Class, e.Service, e.Balancer, e.Best, e.BestDelayMillis = Class{}, 0, netip.AddrPort{}, 0, 0
 }
@@ -170,7 +174,7 @@
 	b[0] = magic
 	b[kindOffset] = byte(e.Kind)
 	b[flagsOffset] = flag(e.Cached, cachedFlag) | flag(e.MustAdmit, mustAdmitFlag) | flag(e.Class.Once, onceFlag) | flag(e.More, moreFlag) |
-		flag(e.Direct, directFlag)
+		flag(e.Direct, directFlag) | flag(e.FreeSlot, freeSlotFlag)
 	b[pageOffset], b[attemptOffset] = e.Page, e.Attempt
 	binary.BigEndian.PutUint16(b[listVersionOffset:], e.ListVersion)
 	b[hopOffset] = e.Hop
@@ -201,6 +205,7 @@
 	e.MustAdmit = b[flagsOffset]&mustAdmitFlag != 0
 	e.More = b[flagsOffset]&moreFlag != 0
 	e.Direct = b[flagsOffset]&directFlag != 0
+	e.FreeSlot = b[flagsOffset]&freeSlotFlag != 0
 	e.Page, e.Attempt = b[pageOffset], b[attemptOffset]
 	e.ListVersion = binary.BigEndian.Uint16(b[listVersionOffset:])
 	e.Hop, e.Count = b[hopOffset], b[countOffset]
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -29,7 +29,8 @@
 			Kind:      rapid.SampledFrom([]Kind{Forward, Return}).Draw(t, "kind"),
 			Cached:    rapid.Bool().Draw(t, "cached"),
 			MustAdmit: rapid.Bool().Draw(t, "take"), More: rapid.Bool().Draw(t, "more"), Direct: rapid.Bool().Draw(t, "direct"),
-			Page: rapid.Byte().Draw(t, "page"), Attempt: rapid.Byte().Draw(t, "attempt"),
+			FreeSlot: rapid.Bool().Draw(t, "freeSlot"),
+			Page:     rapid.Byte().Draw(t, "page"), Attempt: rapid.Byte().Draw(t, "attempt"),
 			ListVersion: rapid.Uint16().Draw(t, "list"),
 			Class: Class{
 				Priority: rapid.Byte().Draw(t, "priority"), TargetMillis: rapid.Uint16().Draw(t, "target"),
