Place new flows by draws where the setting placement is "balanced"

Balancers with the setting use the policy of flowplacement and demand a free slot; "best", the default, changes nothing. The emulator takes it for scripts ("deploy balanced") and for random faults (-packetlab.balanced).

--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
 	"github.com/bergamotgw/bergamotgw/internal/position"
@@ -101,6 +103,14 @@
 	return b
 }
 
+// placement returns the placement of new flows for a balancer that starts.
+func (l *Lab) placement() *flowplacement.Policy {
+	if !l.Balanced {
+		return nil
+	}
+	return flowplacement.NewPolicy(rand.New(rand.NewPCG(l.rand.Uint64(), 0)))
+}
+
 // start starts the process with an empty cache and without a catalog.
 func (b *balancerVM) start() {
 	l := b.lab
@@ -122,6 +132,7 @@
 		AgentPort:          agentPort,
 		MaxFlow:            maxFlow,
 		Bounds:             bounds.Default(),
+		Placement:          l.placement(),
 		Codec:              l.codec,
 		Catalog:            func() *catalog.Catalog { return b.catalog },
 		Corroborated:       b.corroborated,
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -44,6 +44,8 @@
 	Findings []string
 	// Log receives the log events of balancers and agents.
 	Log zerolog.Logger
+	// Balanced makes balancers that start from now on place new flows by random draws.
+	Balanced bool
 
 	clock clockwork.Clock
 	// advance moves the virtual clock; nil if the clock is the real one.
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -79,6 +79,7 @@
 		names[i] = fmt.Sprintf("zone-%c", 'a'+i)
 	}
 	l := NewLab(uint64(seed), names...)
+	l.Balanced = d.HasArg("balanced")
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	for i := range pass {
 		l.AddServer(names[i%zones], passService, passSpeeds[i%len(passSpeeds)])
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -16,6 +16,7 @@
 	// number of those from isolationSeeds on, and restoreCount of those from randomRestoreSeeds on.
 	largeCount     = flag.Int("packetlab.largeSeeds", 4, "number of seeds of TestRandomFaults with large services")
 	restoreCount   = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
+	balanced       = flag.Bool("packetlab.balanced", false, "whether balancers place new flows by random draws")
 	isolationCount = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 )
 
@@ -73,6 +74,7 @@
 func playRandom(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	l := NewLab(seed, "zone-a", "zone-b", "zone-c")
+	l.Balanced = *balanced
 	l.logTo(t, *logFile)
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	servers := 6 + r.IntN(40)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -88,12 +88,13 @@
 	e.Kind, e.Class, e.Balancer, e.Best = steer.Forward, route.Class, b.config.Back, steer.NoBest
 }
 
-// place offers a new flow to the agents with the shortest expected delay. A copy of a SYN goes
+// place offers a new flow to agents in the order of the placement. A copy of a SYN goes
 // first to the agent in the cache, unless that agent is suspect.
 func (b *Balancer) place(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route) {
 	now := b.config.Clock.Now()
 	entry, known := b.cache.Get(flow)
 	e := b.envelope(route)
+	e.FreeSlot = b.config.Placement != nil
 	b.mu.Lock()
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flow)
--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/position"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -105,20 +107,30 @@
 }
 
 // BenchmarkPlace measures the selection of agents for a new flow, by the number of servers of
-// its service.
+// its service and the placement.
 func BenchmarkPlace(b *testing.B) {
 	for _, agents := range []int{3, 109, 1000} {
-		b.Run(fmt.Sprint(agents), func(b *testing.B) {
-			x, _, _ := newZonedBalancer(agents)
-			x.transport.SendFleetDatagram = func([]byte, netip.AddrPort) error { return nil }
-			n := 0
-			for b.Loop() {
-				n++
-				f, _ := flowPacket(n, 0)
-				x.HandleCallerPacket(standin.EncodePacket(packet.Packet{
-					SourceIP: f.CallerIP, SourcePort: f.CallerPort, DestinationIP: f.ServiceIP, DestinationPort: f.ServicePort, Syn: true,
-				}))
-			}
+		b.Run(fmt.Sprint(agents), func(b *testing.B) { benchmarkPlace(b, agents, nil) })
+		b.Run(fmt.Sprintf("%d/balanced", agents), func(b *testing.B) {
+			benchmarkPlace(b, agents, flowplacement.NewPolicy(rand.New(rand.NewPCG(1, 1))))
 		})
 	}
 }
+
+func benchmarkPlace(b *testing.B, agents int, placement *flowplacement.Policy) {
+	x, _, _ := newZonedBalancer(agents)
+	x.transport.SendFleetDatagram = func([]byte, netip.AddrPort) error { return nil }
+	if placement != nil {
+		x.config.Placement = placement
+		x.selection.SetOrder(placement.Order)
+	}
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		f, _ := flowPacket(n, 0)
+		x.HandleCallerPacket(standin.EncodePacket(packet.Packet{
+			SourceIP: f.CallerIP, SourcePort: f.CallerPort, DestinationIP: f.ServiceIP, DestinationPort: f.ServicePort, Syn: true,
+		}))
+	}
+}
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/routehistory"
@@ -56,6 +57,9 @@
 	MaxFlow time.Duration
 	// Bounds are the bounds of the deployment.
 	Bounds bounds.Bounds
+	// Placement orders the agents that are compared for a new flow, and makes agents without a
+	// free slot pass the flow on; nil if agents are ordered by expected delay.
+	Placement *flowplacement.Policy
 	// Codec decodes packets and encodes resets.
 	Codec packet.Codec
 	// Catalog returns the newest catalog.
@@ -165,6 +169,9 @@
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 		queries:   queries{byFlow: make(map[packet.Flow]*searchedFlow), open: make(map[uint32]*flowQuery)},
 	}
+	if c.Placement != nil {
+		b.selection.SetOrder(c.Placement.Order)
+	}
 	b.lostAgents.Store(&map[netip.AddrPort]bool{})
 	return b
 }
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -1,7 +1,9 @@
 package packetcli
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/directory"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packetbalancer"
 	"github.com/bergamotgw/bergamotgw/internal/packetmetrics"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
@@ -71,6 +74,10 @@
 		Clock: b.clock,
 		Log:   l,
 	})
+	var placement *flowplacement.Policy
+	if s.Placement == packetsettings.PlacementBalanced {
+		placement = flowplacement.NewPolicy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
 	var err error
 	b.dataPlane, err = packetbalancer.NewBalancer(packetbalancer.Config{
 		Front:              s.Front,
@@ -79,6 +86,7 @@
 		AgentPort:          s.AgentPort,
 		MaxFlow:            s.MaxFlow(),
 		Bounds:             s.Bounds(),
+		Placement:          placement,
 		Codec:              platform.PacketCodec(),
 		Catalog:            b.directory.Catalog,
 		Corroborated:       b.directory.Corroborated,
@@ -108,7 +116,8 @@
 	wg.Go(func() { b.directory.Run(serving) })
 	wg.Go(func() { b.ready.Run(serving) })
 	wg.Go(func() { serveMetrics(serving, b.metrics, b.settings.Metrics, b.log) })
-	b.log.Info("balancerStarted").Stringer("front", b.settings.Front).Stringer("back", b.settings.Back).Send()
+	b.log.Info("balancerStarted").Stringer("front", b.settings.Front).Stringer("back", b.settings.Back).
+		Str("placement", cmp.Or(b.settings.Placement, packetsettings.PlacementBest)).Send()
 	<-ctx.Done()
 	b.leaving.Store(true)
 	b.directory.Leave()
--- a/internal/packetsettings/packetsettings.go
+++ b/internal/packetsettings/packetsettings.go
@@ -85,8 +85,20 @@
 	Seeds []netip.AddrPort `json:"seeds"`
 	// Platform is the address of the platform's store.
 	Platform netip.AddrPort `json:"platform"`
+	// Placement is how new flows are placed: PlacementBest or PlacementBalanced; empty selects
+	// PlacementBest.
+	Placement string `json:"placement,omitempty"`
 }
 
+// Ways to place new flows.
+const (
+	// PlacementBest offers a flow first to the agent with the shortest expected delay.
+	PlacementBest = "best"
+	// PlacementBalanced compares a few agents that are drawn at random, and makes agents without
+	// a free slot pass the flow on.
+	PlacementBalanced = "balanced"
+)
+
 // Agent holds the settings of an agent.
 type Agent struct {
 	Common
@@ -150,6 +162,8 @@
 	c.Address(s.Peer, "peer")
 	c.Require(s.AgentPort != 0, "agentPort", "missing")
 	c.Address(s.Platform, "platform")
+	c.Require(lo.Contains([]string{"", PlacementBest, PlacementBalanced}, s.Placement), "placement",
+		"%q is not %s or %s", s.Placement, PlacementBest, PlacementBalanced)
 }
 
 func (s Agent) check(c *checkedjson.Checker) {
