Take an agent that has passed on a flow for one that answers

A balancer expects a report after it offers a flow to an agent. One that passes the flow on sends none, and its next report on a change comes after 10 ms for each balancer: with more than 15 of them it counted as silent after 150 ms, was logged as agentSilent and got no flows. The report of the agent that admitted the flow now also shows that the first one answered. No further messages, with either placement.

--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -126,7 +126,7 @@
 	b.config.Log.Info("flowPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Stringer("agent", first.Address).
 		Uint8("choices", e.Count).Uint16("outstanding", first.Load.Outstanding).Dur("reportAge", now.Sub(first.LastReportAt)).
 		Uint64("routes", b.config.Catalog().Routes.Version).Send()
-	b.cache.Put(flow, cacheEntry{agent: e.Candidates[0].Agent})
+	b.cache.Put(flow, cacheEntry{agent: e.Candidates[0].Agent, placed: !known && p.AckSeq == 0})
 	b.send(&e, buf)
 }
 
@@ -189,15 +189,24 @@
 }
 
 // handleReport records the load of an agent and caches the flow that it holds, which ends the
-// search for that flow.
+// search for that flow. If the flow was offered to another agent first, that one has passed it
+// on. It sends no report then, and would count as silent until its next one.
 func (b *Balancer) handleReport(raw []byte, from netip.AddrPort) {
 	load, flow, ok := steer.ParseReport(raw)
 	if !ok {
 		b.counts.Malformed.Add(1)
 		return
 	}
+	var entry cacheEntry
+	if flow != (packet.Flow{}) {
+		entry, _ = b.cache.Get(flow)
+	}
+	now := b.config.Clock.Now()
 	b.mu.Lock()
-	b.selection.RecordReport(from, load, b.config.Clock.Now())
+	b.selection.RecordReport(from, load, now)
+	if entry.placed && entry.agent != from {
+		b.selection.RecordPassedOn(entry.agent, now)
+	}
 	delete(b.queries.byFlow, flow)
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -120,6 +120,9 @@
 type cacheEntry struct {
 	// agent holds the flow; unset while the flow is searched.
 	agent netip.AddrPort
+	// placed is true if the first copy of the flow's SYN was offered to agent first, and no agent
+	// has admitted the flow yet.
+	placed bool
 	// attempts counts the searches since the flow was last found.
 	attempts uint8
 	// searchedAt is when the latest search began, in the list of agents with the version
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -188,11 +188,8 @@
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
 	for _, a := range s.byAddress[address] {
-		if a.suspect(now) || s.foreign(a) {
-			a.RecoveredAt = now
-			s.recoveries++
-		}
-		a.Load, a.LastReportAt, a.UnansweredSince, a.PlacedFlows = l, now, time.Time{}, 0
+		s.recordAnswer(a, now)
+		a.Load, a.LastReportAt, a.PlacedFlows = l, now, 0
 		s.track(a)
 	}
 }
@@ -226,6 +223,23 @@
 	}
 }
 
+// RecordPassedOn records that an agent has passed on a new flow that was offered to it, which
+// shows that it answers although it sends no report.
+func (s *Selection) RecordPassedOn(address netip.AddrPort, now time.Time) {
+	for _, a := range s.byAddress[address] {
+		s.recordAnswer(a, now)
+	}
+}
+
+// recordAnswer records that an agent answers.
+func (s *Selection) recordAnswer(a *Agent, now time.Time) {
+	if a.suspect(now) || s.foreign(a) {
+		a.RecoveredAt = now
+		s.recoveries++
+	}
+	a.UnansweredSince = time.Time{}
+}
+
 // RecordUse records that packets of known flows were sent to an agent.
 func (s *Selection) RecordUse(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
