Show operators how evenly servers are loaded, and how old reports are

Three gauges of the balancer: the highest utilization of a server's slots, the imbalance (highest utilization divided by the mean of its service), and the mean age of the reports by which flows are placed. They come from reports that the balancer has anyway. Tests of selection, packetbalancer and packetmetrics pass.

--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -222,6 +222,13 @@
 	b.selection.Expire(v, since)
 }
 
+// Utilization returns how evenly the agents that report to this balancer are loaded.
+func (b *Balancer) Utilization() selection.Utilization {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.selection.Utilization(b.config.Clock.Now())
+}
+
 // Packets returns the number of packets of callers since the start.
 func (b *Balancer) Packets() uint64 {
 	return b.packets.Load()
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -71,6 +71,10 @@
 	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
 	m.gauge("servers_revision", "Revision of the platform's store at which the servers in force were read.", func() float64 { return float64(d.Catalog().Servers.Revision) })
 	m.gauge("servers_epoch", "Number of times that the platform's store had returned from a backup by that reading.", func() float64 { return float64(d.Catalog().Servers.Epoch) })
+	m.gauge("utilization_max", "Highest utilization of a server's slots in the reports of agents.", func() float64 { return b.Utilization().Max })
+	m.gauge("utilization_imbalance", "Highest utilization of a server divided by the mean of its service, of the service where that is highest.",
+		func() float64 { return b.Utilization().Imbalance })
+	m.gauge("report_age_seconds", "Mean age of the reports of agents by which flows are placed.", func() float64 { return b.Utilization().ReportAge.Seconds() })
 	m.gauge("peers_heard", "Other balancers from which a digest was received recently.", func() float64 { return float64(d.Peers()) })
 }
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -92,6 +92,9 @@
 				return strings.Join(lost, " ")
 			case "spread":
 				return spread(t, d, s, now)
+			case "utilization":
+				u := s.Utilization(now)
+				return fmt.Sprintf("max %.2f, imbalance %.2f, reports %v old", u.Max, u.Imbalance, u.ReportAge)
 			case "walk":
 				return searchPath(t, d, s, &previous, now)
 			case "holders":
