Simulate how evenly packet flows are placed by old reports

"bergamotlab evenload" runs balancers with the product's selection, in virtual time and without network, against models of agents and servers: reports and pings at the product's intervals, demand of zones between 0.45 and 1.55 of the mean, long flows or one for each request, servers of one speed or of 0.55 and 1.2. It prints shares of requests that wait, also while a server idles, the share that agents hold, the bound of an even placement of long flows, waits, and messages a second. All placements meet the same demand.

--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -28,6 +28,7 @@
 	Fabric     fabricCommand     `cmd:"" help:"Run a stand-in for the network fabric."`
 	Backend    backendCommand    `cmd:"" help:"Run a stand-in for a backend server."`
 	Experiment experimentCommand `cmd:"" help:"Measure placement under load and faults."`
+	Evenload   evenloadCommand   `cmd:"" help:"Simulate how evenly packet flows are placed by old reports of load."`
 	Soak       soakCommand       `cmd:"" help:"Run processes of packet flows under random faults, and check the guarantees."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure how costs grow with the size of the system, and draw plots."`
 }
