--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -85,6 +85,7 @@
 		names[i] = fmt.Sprintf("zone-%c", 'a'+i)
 	}
 	l := NewLab(uint64(seed), names...)
+	l.Balanced = d.HasArg("balanced")
 	coldRate, cold := 0, passService.Cold.String()
 	d.MaybeScanArgs(t, "coldRate", &coldRate)
 	d.MaybeScanArgs(t, "cold", &cold)
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -19,6 +19,7 @@
 	restoreCount    = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
 	evacuationCount = flag.Int("packetlab.evacuationSeeds", 8, "number of seeds of TestRandomFaults with evacuations of zones")
 	isolationCount  = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
+	balanced        = flag.Bool("packetlab.balanced", false, "whether balancers place new flows by random draws")
 )
 
 // failedSeeds have failed once, and lie outside the seeds that run anyway. 46, 155 and 217
@@ -82,6 +83,7 @@
 func playRandom(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	l := NewLab(seed, "zone-a", "zone-b", "zone-c")
+	l.Balanced = *balanced
 	l.logTo(t, *logFile)
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	servers := 6 + r.IntN(40)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -88,12 +88,13 @@
 	e.Kind, e.Class, e.Balancer, e.Best = steer.Forward, route.Class, b.config.Back, steer.NoBest
 }
 
-// place offers a new flow to the agents with the shortest expected delay. A copy of a SYN goes
+// place offers a new flow to agents in the order of the placement. A copy of a SYN goes
 // first to the agent in the cache, unless that agent is suspect.
 func (b *Balancer) place(buf []byte, p packet.Packet, flow packet.Flow, route *catalog.Route) {
 	now := b.config.Clock.Now()
 	entry, known := b.cache.Get(flow)
 	e := b.envelope(route)
+	e.FreeSlot = b.config.Placement != nil
 	b.mu.Lock()
 	b.selection.RecordRead(b.config.ReadAt())
 	hash := b.selection.Hash(flow)
@@ -133,7 +134,7 @@
 	b.config.Log.Info("flowPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Stringer("agent", first.Address).
 		Uint8("choices", e.Count).Uint16("outstanding", first.Load.Outstanding).Dur("reportAge", now.Sub(first.LastReportAt)).
 		Uint64("routes", b.config.Catalog().Routes.Version).Send()
-	b.cache.Put(flow, cacheEntry{agent: e.Candidates[0].Agent})
+	b.cache.Put(flow, cacheEntry{agent: e.Candidates[0].Agent, placed: !known && p.AckSeq == 0})
 	if len(unpinged) > 0 {
 		// The ping tells an agent what limits its server before it decides about the flow.
 		b.ping(unpinged, now)
@@ -201,15 +202,24 @@
 }
 
 // handleReport records the load of an agent and caches the flow that it holds, which ends the
-// search for that flow.
+// search for that flow. If the flow was offered to another agent first, that one has passed it
+// on. It sends no report then, and would count as silent until its next one.
 func (b *Balancer) handleReport(raw []byte, from netip.AddrPort) {
 	load, flow, ok := steer.ParseReport(raw)
 	if !ok {
 		b.counts.Malformed.Add(1)
 		return
 	}
+	var entry cacheEntry
+	if flow != (packet.Flow{}) {
+		entry, _ = b.cache.Get(flow)
+	}
+	now := b.config.Clock.Now()
 	b.mu.Lock()
-	b.selection.RecordReport(from, load, b.config.Clock.Now())
+	b.selection.RecordReport(from, load, now)
+	if entry.placed && entry.agent != from {
+		b.selection.RecordPassedOn(entry.agent, now)
+	}
 	delete(b.queries.byFlow, flow)
 	b.mu.Unlock()
 	if flow != (packet.Flow{}) {
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/routehistory"
@@ -56,6 +57,9 @@
 	MaxFlow time.Duration
 	// Bounds are the bounds of the deployment.
 	Bounds bounds.Bounds
+	// Placement orders the agents that are compared for a new flow, and makes agents without a
+	// free slot pass the flow on; nil if agents are ordered by expected delay.
+	Placement *flowplacement.Policy
 	// Codec decodes packets and encodes resets.
 	Codec packet.Codec
 	// Catalog returns the newest catalog.
@@ -121,6 +125,9 @@
 type cacheEntry struct {
 	// agent holds the flow; unset while the flow is searched.
 	agent netip.AddrPort
+	// placed is true if the first copy of the flow's SYN was offered to agent first, and no agent
+	// has admitted the flow yet.
+	placed bool
 	// attempts counts the searches since the flow was last found.
 	attempts uint8
 	// searchedAt is when the latest search began, in the list of agents with the version
@@ -171,6 +178,9 @@
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 		queries:   queries{byFlow: make(map[packet.Flow]*searchedFlow), open: make(map[uint32]*flowQuery)},
 	}
+	if c.Placement != nil {
+		b.selection.SetOrder(c.Placement.Order)
+	}
 	b.lostAgents.Store(&map[netip.AddrPort]bool{})
 	return b
 }
@@ -219,6 +229,13 @@
 	b.selection.Expire(v, since)
 }
 
+// Utilization returns how evenly the agents that report to this balancer are loaded.
+func (b *Balancer) Utilization() selection.Utilization {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.selection.Utilization(b.config.Clock.Now())
+}
+
 // Packets returns the number of packets of callers since the start.
 func (b *Balancer) Packets() uint64 {
 	return b.packets.Load()
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -1,4 +1,4 @@
-// Package selection chooses the candidate agents of a new flow by their expected delay,
+// Package selection chooses the candidate agents of a new flow by their load,
 // orders the agents that are searched for the holder of an unknown flow, and detects
 // agents that do not answer.
 package selection
@@ -12,6 +12,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/coldshare"
 	"github.com/bergamotgw/bergamotgw/internal/evacuation"
+	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/rendezvous"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
@@ -54,9 +55,6 @@
 	// both lost power together: VMs start within 0.3 s of each other, and their clocks
 	// differ slightly.
 	maxStartSkew = time.Second
-	// maxUtilization bounds the queueing term of the expected delay, which has no limit
-	// as the utilization approaches 1.
-	maxUtilization = 0.97
 )
 
 // Agent is the state that a balancer stores for one agent and its backend server.
@@ -161,6 +159,10 @@
 	near, far topScored
 	// listedAt is when the first server was listed; zero before.
 	listedAt time.Time
+	// order sorts the agents that are compared for a new flow. candidates is scratch space for
+	// it.
+	order      func([]flowplacement.Candidate)
+	candidates []flowplacement.Candidate
 	// lastCutOffAt is when CutOff was last true.
 	lastCutOffAt time.Time
 }
@@ -181,6 +183,7 @@
 		unavailableSince: make(map[string]time.Time),
 		zone:             zone,
 		port:             agentPort,
+		order:            flowplacement.Best,
 		retain:           retain,
 		bounds:           b,
 		started:          started,
@@ -193,18 +196,21 @@
 	}
 }
 
+// SetOrder replaces the order of the agents that are compared for a new flow, which is by
+// expected delay.
+func (s *Selection) SetOrder(order func([]flowplacement.Candidate)) {
+	s.order = order
+}
+
 // RecordReport stores a report. Reports from unknown agents are ignored.
 func (s *Selection) RecordReport(address netip.AddrPort, l steer.Load, now time.Time) {
 	for _, a := range s.byAddress[address] {
-		if a.suspect(now) || s.foreign(a) {
-			a.RecoveredAt = now
-			s.countChange(a)
-		}
+		s.recordAnswer(a, now)
 		if a.unsure && l.TableComplete {
 			a.unsure = false
 			s.countChange(a)
 		}
-		a.Load, a.LastReportAt, a.UnansweredSince, a.PlacedFlows = l, now, time.Time{}, 0
+		a.Load, a.LastReportAt, a.PlacedFlows = l, now, 0
 		s.track(a)
 	}
 }
@@ -248,6 +254,23 @@
 	}
 }
 
+// RecordPassedOn records that an agent has passed on a new flow that was offered to it, which
+// shows that it answers although it sends no report.
+func (s *Selection) RecordPassedOn(address netip.AddrPort, now time.Time) {
+	for _, a := range s.byAddress[address] {
+		s.recordAnswer(a, now)
+	}
+}
+
+// recordAnswer records that an agent answers.
+func (s *Selection) recordAnswer(a *Agent, now time.Time) {
+	if a.suspect(now) || s.foreign(a) {
+		a.RecoveredAt = now
+		s.countChange(a)
+	}
+	a.UnansweredSince = time.Time{}
+}
+
 // RecordUse records that packets of known flows were sent to an agent.
 func (s *Selection) RecordUse(address netip.AddrPort, now time.Time) {
 	for _, a := range s.byAddress[address] {
