--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -47,12 +47,13 @@
 // queriesFirst reports whether all agents that may hold a flow are queried at once, and its packet
 // visits none of them before: it is probably lost, together with others that share the query.
 func (b *Balancer) queriesFirst(flow packet.Flow) bool {
+	now := b.config.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.queries.byFlow[flow] == nil {
 		return false
 	}
-	if b.config.Clock.Since(b.started) < queryFirstPeriod && (b.config.NoCorroboratedPeer() || b.selection.AllRecentlyStarted()) {
+	if now.Sub(b.started) < queryFirstPeriod && (b.selection.AllRecentlyStarted() || b.selection.Registering(now)) {
 		return true
 	}
 	return len(b.queries.byFlow) >= manySearchedFlows
