--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -16,6 +16,7 @@
 	// number of those from isolationSeeds on, and restoreCount of those from randomRestoreSeeds on.
 	largeCount     = flag.Int("packetlab.largeSeeds", 4, "number of seeds of TestRandomFaults with large services")
 	restoreCount   = flag.Int("packetlab.restoreSeeds", 8, "number of seeds of TestRandomFaults with returns of the platform from backups")
+	coldCount      = flag.Int("packetlab.coldSeeds", 6, "number of seeds of TestRandomFaults with limits of new flows at cold servers")
 	isolationCount = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 )
 
@@ -24,8 +25,9 @@
 // from the network treated the agent of a running server, which restarted then, as lost. In
 // 1014, 5022 and 5031 searches repeatedly delivered packets to servers other than the flow's
 // own. In 10097 the agent of the only server of a service refused every flow after a crash of
-// the server.
-var failedSeeds = []uint64{46, 136, 155, 217, 1014, 5022, 5031, 10097}
+// the server. In 500049 and 500129 agents admitted flows to cold servers before the first ping and
+// did not count them.
+var failedSeeds = []uint64{46, 136, 155, 217, 1014, 5022, 5031, 10097, 500_049, 500_129}
 
 const (
 	randomFrom  = 4 * time.Second
@@ -36,6 +38,9 @@
 	// randomRestoreSeeds is the first seed whose schedule also changes the routes and returns
 	// the platform from backups; those from largeSeeds on do not.
 	randomRestoreSeeds = 10_000
+	// coldSeeds is the first seed whose services limit the new flows at cold servers; those from
+	// largeSeeds on have no limits.
+	coldSeeds = 500_000
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// maxRandomFault is the longest time that a fault lasts.
@@ -64,6 +69,9 @@
 	for seed := uint64(randomRestoreSeeds); seed < randomRestoreSeeds+uint64(*restoreCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(coldSeeds); seed < coldSeeds+uint64(*coldCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 	for seed := uint64(largeSeeds); seed < largeSeeds+uint64(*largeCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
@@ -74,6 +82,9 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	l := NewLab(seed, "zone-a", "zone-b", "zone-c")
 	l.logTo(t, *logFile)
+	if seed >= coldSeeds && seed < largeSeeds {
+		l.coldRates = map[string]float64{"pass": 10, "portal": 10}
+	}
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	servers := 6 + r.IntN(40)
 	if seed >= largeSeeds {
--- a/internal/packetagent/cold.go
+++ b/internal/packetagent/cold.go
@@ -17,8 +17,8 @@
 	// ping states. A restarted server is on the lists of all balancers sooner; one that was only
 	// paused never is.
 	assumedColdTimeout = 5 * time.Second
-	// firstNoticeTimeout is how long an agent that has just started waits for the first ping that
-	// states the server. Balancers ping an agent that answers again within 100 ms.
+	// firstNoticeTimeout is how long after its first ping an agent that has just started waits for
+	// one that states the server. Pings of older balancers never do.
 	firstNoticeTimeout = time.Second
 	// coldMargin is how long after the stated end of its warm-up a server still counts as cold. Pings
 	// state whole milliseconds, and their own delay varies.
@@ -75,7 +75,8 @@
 // noticePending reports whether the agent has just started in a deployment that limits cold
 // servers, and has not been told yet whether its server is cold.
 func (a *Agent) noticePending(now time.Time) bool {
-	return a.config.WarmupOverage > 0 && a.noticed.born == 0 && now.Sub(a.startedAt) < firstNoticeTimeout
+	k := &a.noticed
+	return a.config.WarmupOverage > 0 && k.born == 0 && (k.firstPingAt.IsZero() || now.Sub(k.firstPingAt) < firstNoticeTimeout)
 }
 
 // ColdLimited reports whether the server counts as cold and its new flows are limited.
@@ -100,13 +101,16 @@
 }
 
 // countSyn counts an opening packet that is delivered to the server. Those to a warm server count
-// too: until a restart is known, they are counted as its last ones.
+// too, and those before the rate is known: it may turn out that the server was cold.
 func (a *Agent) countSyn(now time.Time) {
-	if rate := a.noticed.coldFlowsPerSecond; rate > 0 {
-		a.syns.Take(now, coldstart.Limit(rate, a.config.WarmupOverage, a.config.WarmupSlack))
-	}
+	limit := coldstart.Limit(a.noticed.coldFlowsPerSecond, a.config.WarmupOverage, a.config.WarmupSlack)
+	a.syns.Take(now, max(limit, maxUnlimited))
 }
 
+// maxUnlimited bounds the opening packets that are counted while no limit is in force; at 24 bytes each
+// they take 100 KB.
+const maxUnlimited = 4096
+
 // declineCold handles a SYN that would exceed what a cold server can accept: it passes the SYN on.
 // It writes no delay into the envelope, so that the SYN does not return as a last resort. If no
 // candidate is left, it drops or refuses the flow. A copy for a flow that is open here is dropped.
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -14,6 +14,8 @@
 	// before the first statement.
 	evacuated     bool
 	evacuationsAt position.Position
+	// firstPingAt is when the first ping was received, whatever it stated; zero before.
+	firstPingAt time.Time
 	// born is the latest start of a server at this address, as a Unix time in milliseconds; 0
 	// before the first statement.
 	born int64
@@ -26,6 +28,9 @@
 // recordNotice records what a ping states, unless something newer is known.
 func (a *Agent) recordNotice(n steer.Notice, now time.Time) {
 	k := &a.noticed
+	if k.firstPingAt.IsZero() {
+		k.firstPingAt = now
+	}
 	if n.EvacuationsKnown && !n.EvacuationsAt.Before(k.evacuationsAt) {
 		k.evacuated, k.evacuationsAt = n.Evacuated, n.EvacuationsAt
 	}
