--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -15,6 +15,8 @@
 type noticed struct {
 	// evacuations holds ownZone while the zone of the server is evacuated.
 	evacuations evacuation.Zones
+	// firstPingAt is when the first ping was received, whatever it stated; zero before.
+	firstPingAt time.Time
 	// born is the latest start of a server at this address, as a Unix time in milliseconds; 0
 	// before the first statement.
 	born int64
@@ -28,6 +30,9 @@
 // service at the address says nothing about the server. It returns true if the notice has
 // completed the table.
 func (a *Agent) recordNotice(n steer.Notice, now time.Time) (completed bool) {
+	if a.noticed.firstPingAt.IsZero() {
+		a.noticed.firstPingAt = now
+	}
 	a.recordEvacuation(n, now)
 	if !n.ServerKnown || n.Service != a.config.Service {
 		return false
