--- a/internal/steer/reading.go
+++ b/internal/steer/reading.go
@@ -25,10 +25,10 @@
 	readingSumOffset      = readingRevisionOffset + 8
 	readingRoutesOffset   = readingSumOffset + 8
 
-	// ReadingRequestLen and ReadingLen are the lengths of a request for a reading, and of its
-	// confirmation, in bytes.
+	// ReadingRequestLen is the length of a request for a reading, in bytes.
 	ReadingRequestLen = readingEpochOffset
-	ReadingLen        = readingRoutesOffset + 8
+	// ReadingLen is the length of its confirmation, in bytes.
+	ReadingLen = readingRoutesOffset + 8
 )
 
 // PutReadingRequest writes a request for a reading into b, which holds at least ReadingRequestLen
