Vary the paths of a flow whose first query found no holder

A balancer that queries first sent each packet of a flow along the unsure agents in the same order, so that after a restart of all balancers and agents a server that was down swallowed every one. The query now counts as an attempt, and once the packet has been on such a path, further ones take the usual paths, which vary.

--- a/internal/packetbalancer/denial_test.go
+++ b/internal/packetbalancer/denial_test.go
@@ -91,3 +91,28 @@
 		t.Errorf("delivered %t, %d resets", f.delivered, f.resets)
 	}
 }
+
+// TestPathOfUnsureAgentsIsLost guards against an open flow whose packets all get lost at the same
+// server: after a restart of all balancers and agents the packet is sent along the agents, which
+// cannot tell, and a server that is down swallows it. Later packets take the usual paths, which vary.
+func TestPathOfUnsureAgentsIsLost(t *testing.T) {
+	f, agents := newSearchFleet(8)
+	f.balancer.config.NoCorroboratedPeer = func() bool { return true }
+	for _, a := range agents {
+		f.unknown[a] = true
+	}
+	f.holder, f.loseUnknown = agents[5], true
+	flow, raw := flowPacket(1, 100)
+	for range 2 {
+		if f.delivered || f.visited != 0 {
+			t.Fatal("the packet did not take the path along the agents that cannot tell")
+		}
+		f.balancer.HandleCallerPacket(raw)
+		f.clock.Advance(answerTimeout + searchTimeout)
+		f.balancer.PingAgents()
+	}
+	entry, _ := f.balancer.cache.Get(flow)
+	if !f.delivered || entry.attempts != 2 {
+		t.Errorf("delivered %t after %d attempts, want the second to take another path", f.delivered, entry.attempts)
+	}
+}
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -36,6 +36,7 @@
 	first := b.queriesFirst(flow)
 	if first {
 		b.counts.QueriedFirst.Add(1)
+		b.cache.Put(flow, cacheEntry{attempts: min(entry.attempts+1, maxAttempts)})
 	}
 	if first || !b.searchLikely(buf, flow, route, entry) {
 		b.queryFlow(flow)
@@ -44,11 +45,14 @@
 }
 
 // queriesFirst reports whether all agents that may hold a flow are queried at once, and its packet
-// visits none of them before: it is probably lost, together with others that share the query.
+// visits none of them before: it is probably lost, together with others that share the query. Once
+// the packet has been on a path along unsure agents without a result, further ones are searched as
+// usual: a server that is down swallows each packet on that path, and usual paths vary.
 func (b *Balancer) queriesFirst(flow packet.Flow) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.queries.byFlow[flow] == nil {
+	f := b.queries.byFlow[flow]
+	if f == nil || f.unknownPaths > 0 && !b.denied(f, b.config.Clock.Now()) {
 		return false
 	}
 	justStarted := b.config.Clock.Since(b.started) < queryFirstPeriod
