--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -203,6 +203,8 @@
 		case <-l.clock.After(next.Sub(now)):
 		}
 	}
+	// An event that takes past the end leaves no later one that would show its lag.
+	l.real.worstLag = max(l.real.worstLag, l.clock.Now().Sub(end))
 }
 
 // startHealth accepts connections at the address of a server, so that its agent detects that
