--- a/internal/packetbalancer/denial_test.go
+++ b/internal/packetbalancer/denial_test.go
@@ -97,10 +97,16 @@
 // cannot tell, and a server that is down swallows it. Later packets take the usual paths, which vary.
 func TestPathOfUnsureAgentsIsLost(t *testing.T) {
 	f, agents := newSearchFleet(8)
-	f.balancer.config.NoCorroboratedPeer = func() bool { return true }
 	for _, a := range agents {
 		f.unknown[a] = true
 	}
+	// All servers have started together with the balancer, and none is about to register.
+	list := slices.Clone(f.balancer.config.Catalog().Servers.List)
+	for i := range list {
+		list[i].Born = f.clock.Now().UnixMilli()
+	}
+	f.balancer.SetServers(catalog.NewServers(position.Position{Revision: 2}, list))
+	f.clock.Advance(time.Second)
 	f.holder, f.loseUnknown = agents[5], true
 	flow, raw := flowPacket(1, 100)
 	for range 2 {
