Limit new flows for 2.5 s after the start of an agent beside an older server

Random failed in 8 of 80 plays: after a loss of power, a return of the store from a backup and a restart of all processes, the list named the former server, which had started 15 s before, so its agent took the present one for warm and delivered 21 opening packets in a second.

--- a/internal/packetagent/cold.go
+++ b/internal/packetagent/cold.go
@@ -20,6 +20,9 @@
 	// firstNoticeTimeout is how long after its first ping an agent that has just started waits for
 	// one that states the server. Pings of older balancers never do.
 	firstNoticeTimeout = time.Second
+	// formerEntryTimeout is how long after its start an agent limits the new flows of a server that is
+	// older than itself: servers write their entries again within 2 s of a return from a backup.
+	formerEntryTimeout = 2500 * time.Millisecond
 	// coldMargin is how long after the stated end of its warm-up a server still counts as cold. Pings
 	// state whole milliseconds, and their own delay varies.
 	coldMargin = 50 * time.Millisecond
@@ -66,12 +69,18 @@
 	if a.noticePending(now) {
 		return 0, true
 	}
-	if a.noticed.coldFlowsPerSecond == 0 || !now.Before(a.noticed.coldUntil.Add(coldMargin)) && !a.assumedCold(now) {
+	if a.noticed.coldFlowsPerSecond == 0 || !now.Before(a.noticed.coldUntil.Add(coldMargin)) && !a.assumedCold(now) && !a.mayNameFormer(now) {
 		return 0, false
 	}
 	return coldstart.Limit(a.noticed.coldFlowsPerSecond, a.config.WarmupOverage, a.config.WarmupSlack), true
 }
 
+// mayNameFormer reports whether the server that pings name may be a former one although this process
+// cannot know it: a list that was read from a backup lacks the present server until it writes again.
+func (a *Agent) mayNameFormer(now time.Time) bool {
+	return now.Sub(a.completeness.Started()) < formerEntryTimeout && !a.tableComplete(now)
+}
+
 // noticePending reports whether the agent has just started in a deployment that limits cold
 // servers, and has not been told yet whether its server is cold.
 func (a *Agent) noticePending(now time.Time) bool {
