--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -193,12 +193,13 @@
 			}
 			f.mu.Unlock()
 			if other != nil && !cut {
-				other.HandleDigest(ctx, digest, self)
+				other.HandleDatagram(ctx, digest, self)
 			}
 		},
-		Changed: func(*catalog.Catalog, []Expired) {},
-		Clock:   clockwork.NewRealClock(),
-		Log:     eventlog.NewDirectLog(zerolog.Nop(), clockwork.NewRealClock()),
+		Changed:   func(*catalog.Catalog, []Expired) {},
+		Confirmed: func() {},
+		Clock:     clockwork.NewRealClock(),
+		Log:       eventlog.NewDirectLog(zerolog.Nop(), clockwork.NewRealClock()),
 	})
 	f.mu.Lock()
 	f.all[self] = d
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -65,6 +65,8 @@
 	m.counter("datagrams_unsent_total", "Datagrams that could not be sent.", c.SendFailed.Load)
 	m.counter("platform_reads_total", "Calls to the platform.", r.Reads.Load)
 	m.counter("platform_reads_failed_total", "Reads of the platform that failed.", r.FailedReads.Load)
+	m.counter("platform_readings_requested_total", "Requests of this balancer for a reading of the platform that begins later.", r.ReadingsRequested.Load)
+	m.counter("platform_readings_on_demand_total", "Readings of the platform that requests of balancers caused.", r.ReadingsOnDemand.Load)
 	m.counter("entries_ignored_total", "Entries of the list of servers that describe no usable server, once for each content.", r.Ignored.Load)
 	m.counter("servers_refused_total", "Lists of servers refused because they were older than the list in force.", r.Refused.Load)
 	m.counter("catalog_fetches_total", "Catalogs fetched from other balancers.", r.Fetches.Load)
