--- a/internal/lab/packetlab/real.go
+++ b/internal/lab/packetlab/real.go
@@ -207,35 +207,6 @@
 	l.real.worstLag = max(l.real.worstLag, l.clock.Now().Sub(end))
 }
 
-// startHealth accepts connections at the address of a server, so that its agent detects that
-// the server runs.
-func (r *real) startHealth(a netip.AddrPort) {
-	r.stopHealth(a)
-	listener, err := net.Listen("tcp4", a.String())
-	if err != nil {
-		r.lab.addFinding("lab: %v", err)
-		return
-	}
-	r.health[a] = listener
-	r.tasks.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.Close()
-		}
-	})
-}
-
-// stopHealth stops accepting connections at the address of a server.
-func (r *real) stopHealth(a netip.AddrPort) {
-	if listener, ok := r.health[a]; ok {
-		_ = listener.Close()
-		delete(r.health, a)
-	}
-}
-
 // publish stores routes in the stand-in of the platform.
 func (r *real) publish(routes catalog.Routes) {
 	if err := r.store.Publish(routes); err != nil {
