--- a/internal/lab/packetlab/health.go
+++ b/internal/lab/packetlab/health.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/netip"
 
-	"github.com/ansel1/merry/v2"
 )
 
 // startHealth accepts connections at the address of a server, so that its agent detects that
