--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -9,7 +9,6 @@
 	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
-	"github.com/bergamotgw/bergamotgw/internal/position"
 )
 
 // TestOneBalancerReads checks that one balancer reads the platform for all of them, and
--- a/internal/lab/packetlab/health.go
+++ b/internal/lab/packetlab/health.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-
 )
 
 // startHealth accepts connections at the address of a server, so that its agent detects that
