--- a/internal/directory/start.go
+++ b/internal/directory/start.go
@@ -58,7 +58,8 @@
 	return append(all[:first:first], lo.Samples(all[first:], steer.MaxMembers-startread.Readers)...)
 }
 
-// attempt reads the platform; requested is true if balancers have requested the reading. Until the catalog is complete, most attempts have a short limit.
+// attempt reads the platform; requested is true if balancers have requested the reading. Until the
+// catalog is complete, most attempts have a short limit.
 func (d *Directory) attempt(ctx context.Context, requested bool) error {
 	var limit time.Duration
 	if !d.Catalog().Complete() {
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -130,8 +130,8 @@
 	}))
 }
 
-// load adds callers, distributed over the zones, until the end or for a given time. Each keeps sessions, and sends purchases and
-// requests for pages and offers. The rates are those of all callers together, in requests per second.
+// load adds callers, distributed over the zones, until the end or for a given time. Each keeps
+// sessions, and sends purchases and requests for pages and offers. The rates are those of all callers together, in requests per second.
 func load(t *testing.T, d *datadriven.TestData, l *Lab) {
 	callers, sessions, sessionRate, purchaseRate, pageRate, offerRate := 98, 3, 292, 83, 25, 0
 	d.MaybeScanArgs(t, "callers", &callers)
--- a/internal/packetagent/shed.go
+++ b/internal/packetagent/shed.go
@@ -17,7 +17,8 @@
 }
 
 // shed refuses a new flow that no candidate can serve at once if others shall have its place. It
-// returns true if the flow is not admitted. Like other refusals, this one resets only the first copy of a SYN.
+// returns true if the flow is not admitted. Like other refusals, this one resets only the first
+// copy of a SYN.
 func (a *Agent) shed(e *steer.Envelope, p packet.Packet, delay time.Duration, now time.Time) bool {
 	if a.leaving || a.silent(now) {
 		return false
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -30,8 +30,8 @@
 }
 
 // NewTable builds the table from the sections and VM states in force. Agents on VMs
-// that are leaving or have stopped, and those in evacuated zones, get no new flows. An address that two sections list
-// belongs to the section whose name sorts first.
+// that are leaving or have stopped, and those in evacuated zones, get no new flows. An address
+// that two sections list belongs to the section whose name sorts first.
 func NewTable(l *ledger.Ledger, ranker rendezvous.Ranker) *Table {
 	t := &Table{byAddress: make(map[netip.AddrPort]*route), ranker: ranker}
 	for _, in := range l.List(entry.SectionPrefix) {
@@ -67,8 +67,8 @@
 }
 
 // Candidates writes the agents for a new flow into list, best first and at most 16, and
-// returns the service and the number of agents, 0 if none may get it. It returns false if no section lists the
-// address.
+// returns the service and the number of agents, 0 if none may get it. It returns false if no
+// section lists the address.
 func (t *Table) Candidates(address netip.AddrPort, flow []byte, list []netip.AddrPort) (service uint32, n int, ok bool) {
 	r := t.byAddress[address]
 	if r == nil {
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -308,8 +308,8 @@
 	return !a.UnansweredSince.IsZero() && now.Sub(a.UnansweredSince) > suspectTimeout
 }
 
-// usable reports whether an agent may be offered new flows, unless its zone is evacuated. One whose server is no longer
-// listed may be, for the grace period of expired entries.
+// usable reports whether an agent may be offered new flows, unless its zone is evacuated. One whose
+// server is no longer listed may be, for the grace period of expired entries.
 func (s *Selection) usable(a *Agent) bool {
 	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving || a.serverStopped() || !s.reportsFor(a) {
 		return false
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -33,8 +33,8 @@
 	// maxPings bounds the pings of one round, also while many agents do not answer.
 	maxPings = 24
 	// maxFirstPings bounds the pings of one round while there are agents that were never
-	// pinged, or not since their zone was evacuated or returned. Each agent is pinged once as soon as it is listed, so that searches do not
-	// fail at agents that are down.
+	// pinged, or not since their zone was evacuated or returned. Each agent is pinged once as
+	// soon as it is listed, so that searches do not fail at agents that are down.
 	maxFirstPings = 256
 )
 
@@ -85,9 +85,9 @@
 
 // DueForPing returns the agents to ping now: first those that were not pinged since their zone was
 // evacuated or returned; then, the one whose latest ping is the oldest first, those that were
-// never pinged, those that do not answer, those in use whose report is too old, and
-// those of evacuated zones whose latest ping is too old. Agents that were recently searched are due if their report is older than
-// inUsePeriod.
+// never pinged, those that do not answer, those in use whose report is too old, and those of
+// evacuated zones whose latest ping is too old. Agents that were recently searched are due if
+// their report is older than inUsePeriod.
 func (s *Selection) DueForPing(now time.Time) []netip.AddrPort {
 	inUse, uninformed := 0, 0
 	for at, a := range s.tracked {
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -78,7 +78,8 @@
 }
 
 // publish publishes the next revision of a section, or the stated one: publish SERVICE
-// [revision=n] [owner=x] [without=(vm,...)] [evacuate=(zone,...)] [address-of=SERVICE] [address=SERVICE] [broken].
+// [revision=n] [owner=x] [without=(vm,...)] [evacuate=(zone,...)] [address-of=SERVICE]
+// [address=SERVICE] [broken].
 // The argument address-of adds the address of another service, address takes it instead of
 // the own one, and broken misspells a field.
 func (s *system) publish(d *datadriven.TestData) string {
