Compare routes and services of a configuration by one function

Two functions of the same shape matched entries by name, and reported new and removed ones. Findings are unchanged: the scripts of the check pass.

--- a/internal/routecheck/compare.go
+++ b/internal/routecheck/compare.go
@@ -26,8 +26,8 @@
 // compare adds the differences, and an error if processes would keep the version in force.
 func (c *checker) compare(force Config) {
 	before := len(c.findings)
-	c.compareRoutes(force.Routes)
-	c.compareServices(force.Services)
+	compareByName(c, "route", force.Routes, c.Routes, func(r Route) Field[string] { return r.Name }, c.compareRoute)
+	compareByName(c, "service", force.Services, c.Services, func(s Service) Field[string] { return s.Name }, c.compareService)
 	difference(c, force.IdleTimeout, c.IdleTimeout)
 	changed := len(c.findings) > before
 	is, was := c.Version.Value, force.Version.Value
@@ -36,22 +36,34 @@
 	c.require(is <= was, finding.Change, c.Version.Path, "%d, was %d", is, was)
 }
 
-func (c *checker) compareRoutes(force []Route) {
-	name := func(r Route) string { return r.Name.Value }
-	former := lo.KeyBy(force, name)
-	for _, r := range c.Routes {
-		f, ok := former[name(r)]
-		c.require(ok, finding.Change, r.Name.Path, "new route %q", name(r))
+// compareByName compares the entries of a list that have the same name, and adds a difference for
+// each that only one of the two configurations has. what is the kind of the entries.
+func compareByName[T any](c *checker, what string, force, next []T, name func(T) Field[string], compare func(was, is T)) {
+	value := func(v T, _ int) string { return name(v).Value }
+	former := lo.KeyBy(force, func(v T) string { return name(v).Value })
+	for _, is := range next {
+		field := name(is)
+		was, ok := former[field.Value]
+		c.require(ok, finding.Change, field.Path, "new %s %q", what, field.Value)
 		if ok {
-			difference(c, f.Address, r.Address)
-			difference(c, f.Kind, r.Kind)
-			difference(c, f.Priority, r.Priority)
-			difference(c, f.Objective, r.Objective)
-			difference(c, f.Timeout, r.Timeout)
-			c.compareShares(f, r)
+			compare(was, is)
 		}
 	}
-	c.removed("route", lo.Map(force, func(r Route, _ int) string { return name(r) }), lo.Map(c.Routes, func(r Route, _ int) string { return name(r) }))
+	c.removed(what, lo.Map(force, value), lo.Map(next, value))
+}
+
+func (c *checker) compareRoute(was, is Route) {
+	difference(c, was.Address, is.Address)
+	difference(c, was.Kind, is.Kind)
+	difference(c, was.Priority, is.Priority)
+	difference(c, was.Objective, is.Objective)
+	difference(c, was.Timeout, is.Timeout)
+	c.compareShares(was, is)
+}
+
+func (c *checker) compareService(was, is Service) {
+	difference(c, was.ColdFlowsPerSecond, is.ColdFlowsPerSecond)
+	difference(c, was.Warmup, is.Warmup)
 }
 
 // compareShares compares the shares of a route by their part of all its flows.
@@ -74,20 +86,6 @@
 	return list
 }
 
-func (c *checker) compareServices(force []Service) {
-	name := func(s Service) string { return s.Name.Value }
-	former := lo.KeyBy(force, name)
-	for _, s := range c.Services {
-		f, ok := former[name(s)]
-		c.require(ok, finding.Change, s.Name.Path, "new service %q", name(s))
-		if ok {
-			difference(c, f.ColdFlowsPerSecond, s.ColdFlowsPerSecond)
-			difference(c, f.Warmup, s.Warmup)
-		}
-	}
-	c.removed("service", lo.Map(force, func(s Service, _ int) string { return name(s) }), lo.Map(c.Services, func(s Service, _ int) string { return name(s) }))
-}
-
 // removed adds a difference for each name that the new configuration lacks.
 func (c *checker) removed(what string, was, is []string) {
 	gone, _ := lo.Difference(was, is)
