Look up the flow of a SYN once, and share how a declined SYN goes back

Each SYN was looked up twice, in an evacuated zone three times, and two handlers returned it to the best candidate by code of their own. A cold server that is itself the best candidate now decides at once instead of sending the packet to itself first; no agent writes such an envelope.

--- a/internal/packetagent/cold.go
+++ b/internal/packetagent/cold.go
@@ -130,12 +130,7 @@
 	case entry != nil && entry.State == flowtable.Open:
 		a.counts.ColdDropped.Add(1)
 		a.logCold(flow, e, hop, p, "copyDropped", now)
-	case a.forwardToNext(e, raw, rest):
-		a.counts.ColdForwarded.Add(1)
-		a.logCold(flow, e, hop, p, "passedOn", now)
-	case !e.MustAdmit && e.Best != steer.NoBest:
-		e.MustAdmit, e.Hop = true, e.Best
-		a.resend(e, raw, rest)
+	case a.forwardToNext(e, raw, rest) || a.forwardToBest(e, raw, rest):
 		a.counts.ColdForwarded.Add(1)
 		a.logCold(flow, e, hop, p, "passedOn", now)
 	case p.AckSeq > 0 || a.noticePending(now) || a.copyWillFit(e.Class, p.AckSeq, now):
--- a/internal/packetagent/evacuation.go
+++ b/internal/packetagent/evacuation.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
-	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -46,20 +45,15 @@
 // forwardFromEvacuated handles the SYN of a flow that is not open, in an evacuated zone: whatever
 // the envelope demands, the server must not receive it. The SYN goes to the next candidate, or to
 // the one with the shortest delay of those that declined it, which must admit it. If there is
-// none, no candidate can take the flow.
-func (a *Agent) forwardFromEvacuated(e *steer.Envelope, p packet.Packet, raw, rest []byte) {
+// none, no candidate can take the flow. opening is true if the server has got an earlier copy, which
+// it may yet answer.
+func (a *Agent) forwardFromEvacuated(e *steer.Envelope, p packet.Packet, raw, rest []byte, opening bool) {
 	flow := p.FlowFromCaller()
-	entry := a.table.Get(flow)
-	// The server has got an earlier copy, and may yet answer it.
-	opening := entry != nil && entry.State == flowtable.Opening
 	a.counts.Evacuated.Add(1)
 	a.config.Log.Info("flowPassedOn").Stringer("flow", flow).Uint8("hop", e.Hop).Uint8("of", e.Count).
 		Uint32("copy", p.AckSeq).Bool("take", e.MustAdmit).Str("reason", "evacuated").Send()
 	switch {
-	case a.forwardToNext(e, raw, rest):
-	case !e.MustAdmit && e.Best != steer.NoBest && e.Candidates[e.Best].Agent != a.config.Relay:
-		e.MustAdmit, e.Hop = true, e.Best
-		a.resend(e, raw, rest)
+	case a.forwardToNext(e, raw, rest) || a.forwardToBest(e, raw, rest):
 	case p.AckSeq > 0 || opening:
 		// An earlier copy may have opened the flow.
 		a.sendNotFound(e, flow, false)
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -86,15 +86,17 @@
 		a.declineCold(e, p, raw, rest, now)
 		return
 	}
-	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Open {
+	entry := a.table.Get(flow)
+	if entry != nil && entry.State == flowtable.Open {
 		a.deliverSyn(e, entry, p, rest, now)
 		return
 	}
+	opening := entry != nil && entry.State == flowtable.Opening
 	if a.evacuated(now) {
-		a.forwardFromEvacuated(e, p, raw, rest)
+		a.forwardFromEvacuated(e, p, raw, rest, opening)
 		return
 	}
-	if entry := a.table.Get(flow); entry != nil && entry.State == flowtable.Opening {
+	if opening {
 		// The server has not answered the first copy of the SYN.
 		if e.MustAdmit || a.decline(e, flow, raw, rest, silentDelay) {
 			a.deliverSyn(e, entry, p, rest, now)
@@ -197,6 +199,17 @@
 	return false
 }
 
+// forwardToBest sends a packet to the candidate with the shortest delay of those that declined it,
+// which must admit it. It returns false if there is none, or if it is this agent.
+func (a *Agent) forwardToBest(e *steer.Envelope, raw, rest []byte) bool {
+	if e.MustAdmit || e.Best == steer.NoBest || e.Candidates[e.Best].Agent == a.config.Relay {
+		return false
+	}
+	e.MustAdmit, e.Hop = true, e.Best
+	a.resend(e, raw, rest)
+	return true
+}
+
 // resend sends a packet with its changed envelope to the current candidate in the envelope.
 func (a *Agent) resend(e *steer.Envelope, raw, rest []byte) {
 	a.transmit(e, raw, rest, e.Self().Agent)
