Decide by counts first whether all agents are queried

Each packet of a searched flow went through the list of all servers under the lock of the balancer in the first 15 s, also while 64 flows are searched, which decides alone. The result is unchanged.

--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -54,13 +54,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := b.queries.byFlow[flow]
-	if f == nil || f.unknownPaths > 0 && !b.denied(f, b.config.Clock.Now()) {
+	if f == nil || f.unknownPaths > 0 && !b.denied(f, now) {
 		return false
 	}
-	if now.Sub(b.started) < queryFirstPeriod && (b.selection.AllRecentlyStarted() || b.selection.Registering(now)) {
-		return true
-	}
-	return len(b.queries.byFlow) >= manySearchedFlows
+	return len(b.queries.byFlow) >= manySearchedFlows ||
+		now.Sub(b.started) < queryFirstPeriod && (b.selection.Registering(now) || b.selection.AllRecentlyStarted())
 }
 
 // searchLikely sends a packet of an unknown flow along the agents that probably hold it; if none
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -32,10 +32,7 @@
 	h := Holders{ListVersion: s.listVersion, Changes: s.changes}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
-			if c.agent.deniedBy(denied) {
-				continue
-			}
-			if c.agent.serverStopped() {
+			if c.agent.serverStopped() || c.agent.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(c.agent, now)
