Share the order of readers and the comparison of a reading, and skip requests that are not due

The place in the order of readers and the comparison of a reading with the catalog in force stood twice. Each searched flow with a stale list sorted all readers before the request was found not to be due; now the pause is checked first.

--- a/internal/directory/demand.go
+++ b/internal/directory/demand.go
@@ -40,6 +40,13 @@
 // of the readers or, if that has not answered, from the next one. Requests are limited, so the
 // caller repeats the call as long as it needs a reading.
 func (d *Directory) RequestReading() {
+	d.mu.Lock()
+	due := d.demand.requester.Due(1, d.config.Clock.Now())
+	d.mu.Unlock()
+	if !due {
+		// Most calls end here: after a loss of power, each searched flow makes some.
+		return
+	}
 	order, peers := d.readers(), d.Peers()
 	d.mu.Lock()
 	index, number, ok := d.demand.requester.Next(len(order), peers+1, d.config.Clock.Now())
@@ -64,9 +71,7 @@
 
 // readers returns the balancers that read the platform, in their order, with this one among them.
 func (d *Directory) readers() []netip.AddrPort {
-	epoch := d.catalog.Load().Servers.Epoch
-	others := lo.PickBy(d.live(), func(_ netip.AddrPort, m member) bool { return m.reads(epoch) })
-	order := append(lo.Keys(others), d.config.Self)
+	order := append(lo.Keys(d.liveThat(member.reads)), d.config.Self)
 	slices.SortFunc(order, netip.AddrPort.Compare)
 	return order
 }
@@ -151,9 +156,7 @@
 	}
 	d.mu.Lock()
 	sentAt, ok := d.demand.requester.Answered(r.Number)
-	f := steer.Freshness{RoutesVersion: r.RoutesVersion, Position: r.Position, Sum: r.Sum}
-	same := ok && f.Sum == d.sum && d.sum == d.passedSum && f.RoutesVersion <= d.catalog.Load().Routes.Version &&
-		!f.Before(d.catalog.Load().Servers.Position)
+	same := ok && d.shows(steer.Freshness{RoutesVersion: r.RoutesVersion, Position: r.Position, Sum: r.Sum})
 	if same {
 		d.recordExact(sentAt)
 	} else if ok {
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -168,9 +168,14 @@
 // balancer that cannot fetch those must not rely on the sender's readings. The caller holds the
 // lock.
 func (d *Directory) confirms(f steer.Freshness) bool {
+	return f.Revision > 0 && d.readsEvacuations(f) && d.shows(f)
+}
+
+// shows reports whether a reading has the same servers as the catalog in force, at the same or a
+// later position, and no newer routes. The caller holds the lock.
+func (d *Directory) shows(f steer.Freshness) bool {
 	c := d.catalog.Load()
-	return f.Revision > 0 && f.Sum == d.sum && d.sum == d.passedSum && d.readsEvacuations(f) &&
-		f.RoutesVersion <= c.Routes.Version && !f.Before(c.Servers.Position)
+	return f.Sum == d.sum && d.sum == d.passedSum && f.RoutesVersion <= c.Routes.Version && !f.Before(c.Servers.Position)
 }
 
 // lacksServers reports whether the sender of a digest has a newer list of servers than this
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -186,10 +186,20 @@
 // rank returns the place of this balancer in the order of readers, from 0, and their number: live
 // balancers that satisfy the predicate are ordered by address.
 func (d *Directory) rank(counts func(m member, epoch uint64) bool) (rank, count int) {
+	return d.rankAmong(d.liveThat(counts))
+}
+
+// rankAmong returns the place of this balancer among others in the order of their addresses, from 0,
+// and the number of all of them.
+func (d *Directory) rankAmong(others map[netip.AddrPort]member) (rank, count int) {
+	before := lo.CountBy(lo.Keys(others), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
+	return before, len(others) + 1
+}
+
+// liveThat returns the other balancers that are live and satisfy a predicate.
+func (d *Directory) liveThat(counts func(m member, epoch uint64) bool) map[netip.AddrPort]member {
 	epoch := d.catalog.Load().Servers.Epoch
-	readers := lo.PickBy(d.live(), func(_ netip.AddrPort, m member) bool { return counts(m, epoch) })
-	before := lo.CountBy(lo.Keys(readers), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
-	return before, len(readers) + 1
+	return lo.PickBy(d.live(), func(_ netip.AddrPort, m member) bool { return counts(m, epoch) })
 }
 
 // staying returns the other balancers that are live and not about to stop.
--- a/internal/directory/start.go
+++ b/internal/directory/start.go
@@ -45,8 +45,7 @@
 		}
 		return !m.leaving && now.Sub(since) < d.config.Bounds.MaxReadingAge()
 	})
-	before := lo.CountBy(lo.Keys(others), func(a netip.AddrPort) bool { return a.Compare(d.config.Self) < 0 })
-	return before, len(others) + 1
+	return d.rankAmong(others)
 }
 
 // named returns the balancers that a digest names: the first readers, so that all others learn soon
--- a/internal/ondemand/ondemand.go
+++ b/internal/ondemand/ondemand.go
@@ -66,13 +66,18 @@
 	answerTimeout = 300 * time.Millisecond
 )
 
+// Due reports whether the pause since the latest request is over, in a fleet of that many balancers.
+func (q *Requester) Due(balancers int, now time.Time) bool {
+	pause := max(interval, time.Duration(balancers)*time.Second/requestsPerSecond)
+	latest := q.sent[q.number%remembered]
+	return latest.IsZero() || now.Sub(latest) >= pause
+}
+
 // Next returns the index of the reader to request a reading from, out of readers in their order, and
 // the number of the request. It returns false if none is due: balancers is the number of all
 // balancers, which share the capacity of the readers.
 func (q *Requester) Next(readers, balancers int, now time.Time) (reader int, number uint32, ok bool) {
-	pause := max(interval, time.Duration(balancers)*time.Second/requestsPerSecond)
-	latest := q.sent[q.number%remembered]
-	if readers == 0 || !latest.IsZero() && now.Sub(latest) < pause {
+	if readers == 0 || !q.Due(balancers, now) {
 		return 0, 0, false
 	}
 	switch {
