--- /dev/null
+++ b/review/stand-2/server.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/packet"
+)
+
+// Behaviour of servers.
+const (
+	heartbeat = 770 * time.Millisecond
+	// expiry is how long after its latest heartbeat the entry of a silent server is removed.
+	expiry = 3 * heartbeat
+	// firstRetransmission doubles up to maxRetransmission, maxRetransmissions times.
+	firstRetransmission = 200 * time.Millisecond
+	maxRetransmission   = 1600 * time.Millisecond
+	maxRetransmissions  = 8
+)
+
+// server is a stand-in for an endpoint. It answers each request, which is one packet, after its
+// work.
+type server struct {
+	lab     *lab
+	n       int
+	ip      netip.Addr
+	service string
+	zone    string
+	slots   int
+	work    time.Duration
+	// boot is the time from the start of the server to the opening of its sockets.
+	boot time.Duration
+	// warmup is how long the server is cold after a start.
+	warmup time.Duration
+	// clockError is added to the time of day that the server states as its start.
+	clockError time.Duration
+
+	mu sync.Mutex
+	// lifetime counts the starts. udp is nil while the server is down.
+	lifetime int
+	udp      *net.UDPConn
+	health   *http.Server
+	// startedAt is the start of the lifetime, and born that start as the server states it.
+	startedAt time.Time
+	born      int64
+	state     catalog.State
+	// drainedAt is when the store accepted the state draining; zero if it did not.
+	drainedAt time.Time
+	flows     map[packet.Flow]*serverFlow
+	busy      int
+	waiting   []func()
+}
+
+// serverFlow is the server's end of a flow.
+type serverFlow struct {
+	first, next, expected uint32
+	opened, closed        bool
+	// answered is true once the request was taken.
+	taken bool
+	acked uint32
+}
+
+func (s *server) app() netip.AddrPort { return netip.AddrPortFrom(s.ip, s.lab.ports.app) }
+
+func (s *server) id() string { return fmt.Sprintf("server-%d", s.n) }
+
+// start starts a lifetime. The sockets open after the boot time, and the server registers then.
+func (s *server) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lifetime++
+	lifetime := s.lifetime
+	s.startedAt = time.Now()
+	s.born = s.startedAt.Add(s.clockError).UnixMilli()
+	s.state, s.drainedAt = catalog.Ready, time.Time{}
+	s.flows, s.busy, s.waiting = make(map[packet.Flow]*serverFlow), 0, nil
+	s.lab.record("server %d started lifetime %d, born %d", s.n, lifetime, s.born)
+	time.AfterFunc(s.boot, func() { s.open(lifetime) })
+}
+
+// open opens the sockets of a lifetime that still runs.
+func (s *server) open(lifetime int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lifetime != lifetime {
+		return
+	}
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.app()))
+	if err != nil {
+		s.lab.fail("server %d: %v", s.n, err)
+		return
+	}
+	l, err := net.Listen("tcp4", s.app().String())
+	if err != nil {
+		s.lab.fail("server %d: %v", s.n, err)
+		return
+	}
+	s.udp = udp
+	s.health = &http.Server{Handler: http.HandlerFunc(s.serveHealth), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.health.Serve(l) }()
+	go s.read(udp, lifetime)
+	go s.beat(lifetime)
+	s.lab.record("server %d listens", s.n)
+}
+
+func (s *server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != catalog.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// crash ends the lifetime without a word. The entry is removed after expiry unless the server has
+// written it again by then.
+func (s *server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lifetime++
+	lifetime := s.lifetime
+	if s.udp != nil {
+		_ = s.udp.Close()
+		_ = s.health.Close()
+	}
+	s.udp = nil
+	s.lab.record("server %d crashed", s.n)
+	time.AfterFunc(expiry, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.lifetime == lifetime {
+			s.lab.store.Remove(s.id())
+		}
+	})
+}
+
+// drain states that the server leaves.
+func (s *server) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = catalog.Draining
+	s.register()
+	s.drainedAt = time.Now()
+	s.lab.record("server %d draining", s.n)
+}
+
+func (s *server) beat(lifetime int) {
+	for {
+		s.mu.Lock()
+		if s.lifetime != lifetime {
+			s.mu.Unlock()
+			return
+		}
+		s.register()
+		s.mu.Unlock()
+		time.Sleep(heartbeat)
+	}
+}
+
+// register writes the entry. The caller holds the lock.
+func (s *server) register() {
+	left := max(0, s.warmup-time.Since(s.startedAt))
+	err := s.lab.store.Register(catalog.Server{
+		ID: s.id(), Born: s.born, Service: s.service, Address: s.ip, Zone: s.zone, Slots: uint8(s.slots), State: s.state, Warmup: left,
+	}, s.lab.ports.app)
+	if err != nil {
+		s.lab.fail("store: %v", err)
+	}
+}
+
+func (s *server) read(udp *net.UDPConn, lifetime int) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := udp.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		raw := append([]byte(nil), buf[:n]...)
+		s.mu.Lock()
+		if s.lifetime == lifetime {
+			s.handle(raw)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// send sends a packet to the agent. The caller holds the lock.
+func (s *server) send(raw []byte) {
+	if s.udp != nil {
+		_, _ = s.udp.WriteToUDPAddrPort(raw, netip.AddrPortFrom(s.ip, s.lab.ports.outbound))
+	}
+}
+
+// handle handles a packet. The caller holds the lock.
+func (s *server) handle(raw []byte) {
+	p, ok := codec.Parse(raw)
+	if !ok {
+		return
+	}
+	f := p.FlowFromCaller()
+	flow := s.flows[f]
+	switch {
+	case p.Syn && flow == nil:
+		first := rand.Uint32()
+		flow = &serverFlow{first: first, next: first + 1, acked: first + 1, expected: p.Seq + 1}
+		s.flows[f] = flow
+		s.lab.recordTaken(s, f)
+		s.send(fromServer(f, packet.Packet{Syn: true, Ack: true, Seq: first, AckSeq: flow.expected}))
+	case p.Syn && !flow.opened:
+		s.send(fromServer(f, packet.Packet{Syn: true, Ack: true, Seq: flow.first, AckSeq: flow.expected}))
+	case p.Syn:
+		s.send(fromServer(f, packet.Packet{Ack: true, Seq: flow.next, AckSeq: flow.expected}))
+	case flow == nil:
+		s.send(bounce(raw))
+	case p.Reset:
+		delete(s.flows, f)
+	default:
+		s.handleOpen(f, flow, p)
+	}
+}
+
+func (s *server) handleOpen(f packet.Flow, flow *serverFlow, p packet.Packet) {
+	if !flow.opened && p.AckSeq != flow.next {
+		return
+	}
+	flow.opened = true
+	if p.Ack && packet.SeqAfter(p.AckSeq, flow.acked) {
+		flow.acked = p.AckSeq
+	}
+	switch {
+	case flow.closed && p.Fin:
+		s.send(fromServer(f, packet.Packet{Ack: true, Seq: flow.next, AckSeq: p.NextSeq()}))
+	case flow.closed && len(p.Data) > 0:
+		s.send(fromServer(f, packet.Packet{Reset: true, Seq: p.AckSeq}))
+	case flow.closed:
+	case p.Fin:
+		flow.closed, flow.expected = true, p.NextSeq()
+		s.send(fromServer(f, packet.Packet{Ack: true, Fin: true, Seq: flow.next, AckSeq: flow.expected}))
+		flow.next++
+	case len(p.Data) > 0 && p.Seq == flow.expected:
+		flow.expected = p.NextSeq()
+		s.take(f, flow, append([]byte(nil), p.Data...))
+	}
+}
+
+// take runs a request as soon as a slot is free. The caller holds the lock.
+func (s *server) take(f packet.Flow, flow *serverFlow, request []byte) {
+	lifetime := s.lifetime
+	run := func() {
+		s.lab.recordRun(s, f, requestID(request))
+		time.AfterFunc(s.work, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.lifetime != lifetime {
+				return
+			}
+			s.busy--
+			s.next()
+			data := []byte("HTTP/1.1 200 OK\r\nBergamotgw-Response-Signature: stand-in\r\nBergamotgw-Request-Id: " + requestID(request) + "\r\nContent-Length: 0\r\n\r\n")
+			seq := flow.next
+			flow.next += uint32(len(data))
+			s.transmit(lifetime, f, flow, packet.Packet{Ack: true, Seq: seq, AckSeq: flow.expected, Data: data}, firstRetransmission, 0)
+		})
+	}
+	s.waiting = append(s.waiting, run)
+	if s.busy < s.slots {
+		s.next()
+	}
+}
+
+// next starts the request that has waited longest. The caller holds the lock.
+func (s *server) next() {
+	if len(s.waiting) > 0 && s.busy < s.slots {
+		run := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.busy++
+		run()
+	}
+}
+
+// transmit sends an answer until it is acknowledged. The caller holds the lock.
+func (s *server) transmit(lifetime int, f packet.Flow, flow *serverFlow, p packet.Packet, pause time.Duration, sent int) {
+	if s.lifetime != lifetime || sent > maxRetransmissions || !packet.SeqAfter(p.NextSeq(), flow.acked) {
+		return
+	}
+	s.send(fromServer(f, p))
+	time.AfterFunc(pause, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.transmit(lifetime, f, flow, p, min(2*pause, maxRetransmission), sent+1)
+	})
+}
