--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -50,8 +50,6 @@
 	startedAt time.Time
 	born      int64
 	state     catalog.State
-	// drainedAt is when the store accepted the state draining; zero if it did not.
-	drainedAt time.Time
 	flows     map[packet.Flow]*serverFlow
 	busy      int
 	waiting   []func()
@@ -61,9 +59,7 @@
 type serverFlow struct {
 	first, next, expected uint32
 	opened, closed        bool
-	// answered is true once the request was taken.
-	taken bool
-	acked uint32
+	acked                 uint32
 }
 
 func (s *server) app() netip.AddrPort { return netip.AddrPortFrom(s.ip, s.lab.ports.app) }
@@ -78,7 +74,7 @@
 	lifetime := s.lifetime
 	s.startedAt = time.Now()
 	s.born = s.startedAt.Add(s.clockError).UnixMilli()
-	s.state, s.drainedAt = catalog.Ready, time.Time{}
+	s.state = catalog.Ready
 	s.flows, s.busy, s.waiting = make(map[packet.Flow]*serverFlow), 0, nil
 	s.lab.record("server %d started lifetime %d, born %d", s.n, lifetime, s.born)
 	time.AfterFunc(s.boot, func() { s.open(lifetime) })
@@ -139,16 +135,6 @@
 	})
 }
 
-// drain states that the server leaves.
-func (s *server) drain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.state = catalog.Draining
-	s.register()
-	s.drainedAt = time.Now()
-	s.lab.record("server %d draining", s.n)
-}
-
 func (s *server) beat(lifetime int) {
 	for {
 		s.mu.Lock()
