--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -15,7 +15,7 @@
 	warmupSlack     = 5
 	warmupPerSecond = 4
 	warmupTime      = 2 * time.Second
-	serverCount     = 3
+	serverCount     = 1
 	// crashTime is how long the server is down.
 	crashTime = 250 * time.Millisecond
 )
@@ -51,7 +51,7 @@
 	l.sleepUntil(6 * time.Second)
 	type result struct{ list []*request }
 	done := make(chan result)
-	go func() { done <- result{l.load(to, 185, l.started.Add(16*time.Second))} }()
+	go func() { done <- result{l.load(to, 60, l.started.Add(16*time.Second))} }()
 	l.sleepUntil(12 * time.Second)
 	s := l.servers[0]
 	if trouble {
