--- a/review/_stand-2/caller.go
+++ b/review/_stand-2/caller.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	nextPort uint16
 	flows    map[uint16]*callerFlow
+	sessions map[uint16]*session
 }
 
 // callerFlow is the caller's end of a flow.
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &caller{lab: l, ip: ip, udp: udp, nextPort: 20000, flows: make(map[uint16]*callerFlow)}
+	c := &caller{lab: l, ip: ip, udp: udp, nextPort: 20000, flows: make(map[uint16]*callerFlow), sessions: make(map[uint16]*session)}
 	go c.read()
 	return c, nil
 }
@@ -148,6 +149,10 @@
 
 // handle handles a packet. The caller holds the lock.
 func (c *caller) handle(p packet.Packet) {
+	if s := c.sessions[p.DestinationPort]; s != nil {
+		s.handle(p)
+		return
+	}
 	f := c.flows[p.DestinationPort]
 	if f == nil || f.closed {
 		return
@@ -155,7 +160,7 @@
 	switch {
 	case p.Reset:
 		f.request.resets++
-		c.lab.recordReset(f.flow, f.opened)
+		c.lab.recordReset()
 		f.closed = true
 		if again := c.lab.takeReset(f.flow); again != nil {
 			again()
--- a/review/_stand-2/lab.go
+++ b/review/_stand-2/lab.go
@@ -65,6 +65,10 @@
 	retries  map[packet.Flow]func()
 	ran      map[string]int
 	resets   int
+	// byFlow holds what is known of the packets of each session, breaks how many flows broke the rule
+	// FLOW, and unanswered how many requests of sessions callers gave up.
+	byFlow             map[packet.Flow]*strays
+	breaks, unanswered int
 }
 
 // taken is an opening packet that a server took.
@@ -100,6 +104,7 @@
 	l := &lab{
 		program: program, dir: dir, store: standin.NewStore(), started: time.Now(), out: out, bounds: make(map[string]any),
 		openedAt: make(map[packet.Flow]time.Time), retries: make(map[packet.Flow]func()), ran: make(map[string]int),
+		byFlow: make(map[packet.Flow]*strays),
 	}
 	if l.ports, err = freePorts(); err != nil {
 		return nil, err
@@ -419,7 +424,7 @@
 	return l.retries[f]
 }
 
-func (l *lab) recordReset(packet.Flow, bool) {
+func (l *lab) recordReset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.resets++
--- a/review/_stand-2/main.go
+++ b/review/_stand-2/main.go
@@ -30,7 +30,7 @@
 }
 
 func run(program, record, name string, logs bool) int {
-	cases := map[string]play{"boot": playBoot, "cold": playCold}
+	cases := map[string]play{"boot": playBoot, "cold": playCold, "roll": playRoll}
 	p, ok := cases[name]
 	out, err := os.Create(record)
 	if !ok || err != nil {
--- a/review/_stand-2/server.go
+++ b/review/_stand-2/server.go
@@ -190,6 +190,9 @@
 	}
 	f := p.FlowFromCaller()
 	flow := s.flows[f]
+	if !p.Syn {
+		s.lab.recordPacket(s, f, flow != nil && (flow.opened || p.AckSeq == flow.next))
+	}
 	switch {
 	case p.Syn && flow == nil:
 		first := rand.Uint32()
