Show which listed servers agents state to have stopped

An agent can state that the listed server has stopped, which takes that server out of placement at every balancer, but nothing recorded the statement or what it rested on.

Agents and balancers now log `serverStopped` and `serverMayRun` when the statement begins and ends, with the start of the server and the time of the probe; `flowNotPlaced` and `flowRefused` say how many servers of the service are excluded that way; two gauges count them.

--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -56,6 +56,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.logSilence(now)
+	a.logStopped()
 	a.expireRequests(now)
 	a.reportChangedLoad(now)
 	if now.Sub(a.sweptAt) >= sweepInterval {
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -129,6 +129,9 @@
 	// is zero if that is unknown, or after a packet of a server on a flow: the time of day may have
 	// been set back since. What the server only bounces shows that it holds no flow.
 	noServerAt time.Time
+	// statedStopped is the start of the server that was stated as stopped at the latest check; 0 if
+	// none was.
+	statedStopped int64
 	// syns counts the opening packets that were delivered to the server, and restart is the
 	// evidence that it has restarted.
 	syns    coldstart.Limiter
@@ -286,6 +289,27 @@
 	return a.noticed.born
 }
 
+// ListedServerStopped reports whether the agent states that the server that balancers list has stopped.
+func (a *Agent) ListedServerStopped() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stoppedServer() != 0
+}
+
+// logStopped logs when the agent begins and ceases to state that the listed server has stopped.
+func (a *Agent) logStopped() {
+	born := a.stoppedServer()
+	if born == a.statedStopped {
+		return
+	}
+	if born != 0 {
+		a.config.Log.Warn("serverStopped").Time("started", time.UnixMilli(born)).Time("notRunningAt", a.noServerAt).Send()
+	} else {
+		a.config.Log.Info("serverMayRun").Time("started", time.UnixMilli(a.noticed.born)).Send()
+	}
+	a.statedStopped = born
+}
+
 // tableComplete reports whether the table holds every open flow of the server.
 func (a *Agent) tableComplete(now time.Time) bool {
 	return a.completeness.Complete(now)
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -119,14 +119,18 @@
 	case b.selection.Unavailable(service, now):
 		reason = "noServer"
 	}
+	stopped := 0
+	if e.Count == 0 {
+		stopped = b.selection.StoppedServers(service)
+	}
 	b.mu.Unlock()
 	if e.Count == 0 {
 		b.counts.NoServer.Add(1)
 		if reason != "" && p.AckSeq == 0 {
-			b.refuse(flow, p, service, reason)
+			b.refuse(flow, p, service, reason, stopped)
 			return
 		}
-		b.config.Log.Info("flowNotPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Str("service", service).
+		b.config.Log.Info("flowNotPlaced").Stringer("flow", flow).Uint32("copy", p.AckSeq).Str("service", service).Int("stoppedServers", stopped).
 			Dur("platformAge", now.Sub(b.config.ReadAt())).Send()
 		return
 	}
@@ -149,9 +153,11 @@
 	b.Send(buf[start:], e.Candidates[0].Agent)
 }
 
-func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service, reason string) {
+// refuse resets a new flow of a service none of whose servers may be offered it. stopped is how many of
+// them have stopped by the statement of their agents.
+func (b *Balancer) refuse(flow packet.Flow, p packet.Packet, service, reason string, stopped int) {
 	b.counts.Refused.Add(1)
-	b.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", reason).
+	b.config.Log.Failure("flowRefused").Stringer("flow", flow).Str("service", service).Str("reason", reason).Int("stoppedServers", stopped).
 		Dur("platformAge", b.config.Clock.Since(b.config.ReadAt())).Send()
 	b.reset(flow, p.AckSeq)
 }
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -268,6 +268,7 @@
 	b.mu.Lock()
 	b.selection.RecordRead(b.config.ReadAt())
 	b.selection.NotifyChanges(now, b.logStateChange)
+	b.selection.NotifyStopped(b.logStopped)
 	lostAgents := b.selection.LostAgents(now)
 	b.updateCutOff(now)
 	b.usedAgents.take(func(a netip.AddrPort) { b.selection.RecordUse(a, now) })
@@ -346,3 +347,20 @@
 	b.config.Log.Warn("agentSilent").Stringer("agent", a.Address).Str("server", a.Server.ID).
 		Time("asked", a.UnansweredSince).Time("heard", a.LastReportAt).Bool("listed", a.UnlistedSince.IsZero()).Send()
 }
+
+// logStopped logs that an agent has stated that its listed server has stopped, or no longer does.
+func (b *Balancer) logStopped(a selection.Agent, stopped bool) {
+	if !stopped {
+		b.config.Log.Info("serverMayRun").Stringer("agent", a.Address).Str("server", a.Server.ID).Send()
+		return
+	}
+	b.config.Log.Warn("serverStopped").Stringer("agent", a.Address).Str("server", a.Server.ID).
+		Time("started", time.UnixMilli(a.Server.Born)).Bool("agentLeaves", a.Load.State == steer.Leaving).Send()
+}
+
+// StoppedServers returns how many listed servers have stopped by the statement of their agents.
+func (b *Balancer) StoppedServers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.selection.AllStoppedServers()
+}
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -82,6 +82,8 @@
 	m.gauge("utilization_imbalance", "Highest utilization of a server divided by the mean of its service, of the service where that is highest.",
 		func() float64 { return b.Utilization().Imbalance })
 	m.gauge("report_age_seconds", "Mean age of the reports of agents by which flows are placed.", func() float64 { return b.Utilization().ReportAge.Seconds() })
+	m.gauge("stopped_servers", "Listed servers that are offered no new flow because their agents have stated that they have stopped.",
+		func() float64 { return float64(b.StoppedServers()) })
 	m.gauge("peers_heard", "Other balancers from which a digest was received recently.", func() float64 { return float64(d.Peers()) })
 }
 
@@ -119,6 +121,9 @@
 	m.gauge("server_silent", "1 while the server does not answer, otherwise 0.", func() float64 {
 		return one(a.Load().State == steer.Silent)
 	})
+	m.gauge("listed_server_stopped", "1 while the agent states that the server that balancers list has stopped, otherwise 0.", func() float64 {
+		return one(a.ListedServerStopped())
+	})
 	m.gauge("zone_evacuated", "1 while the zone of the server is evacuated, as far as balancers have stated, otherwise 0.", func() float64 {
 		return one(a.Evacuated())
 	})
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -99,6 +99,9 @@
 	startedTogether bool
 	// wasSuspect is whether the agent was suspect at the latest call of NotifyChanges.
 	wasSuspect bool
+	// wasStopped is whether the agent had stated at the latest call of NotifyStopped that the listed
+	// server has stopped.
+	wasStopped bool
 	// monitored is true if the agent is pinged even while it is not used.
 	monitored bool
 	// sampled is true if the agent is in the sample from which CutOff infers whether
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -119,6 +119,12 @@
 				}), "")
 			case "allFresh":
 				return strconv.FormatBool(s.AllRecentlyStarted())
+			case "stopped":
+				var changes []string
+				s.NotifyStopped(func(a Agent, stopped bool) {
+					changes = append(changes, fmt.Sprintf("%s %t", number(steer.Candidate{Agent: a.Address}), stopped))
+				})
+				return fmt.Sprintf("%d stopped, changes: %s", s.AllStoppedServers(), strings.Join(changes, ", "))
 			case "hopeless":
 				var e steer.Envelope
 				s.Choices(&e, 1, "pass", now)
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -80,6 +80,29 @@
 	return a.Load.StoppedServer != 0 && a.Load.StoppedServer == uint32(a.Server.Born)
 }
 
+// NotifyStopped calls changed for each agent that states since the previous call that its listed
+// server has stopped, or no longer does.
+func (s *Selection) NotifyStopped(changed func(a Agent, stopped bool)) {
+	for _, a := range s.tracked {
+		if stopped := a.serverStopped(); stopped != a.wasStopped {
+			a.wasStopped = stopped
+			changed(*a, stopped)
+		}
+	}
+}
+
+// StoppedServers returns how many listed servers of a service have stopped by the statement of their
+// agents.
+func (s *Selection) StoppedServers(service string) int {
+	return lo.CountBy(s.byService[service], func(a *Agent) bool { return a.UnlistedSince.IsZero() && a.serverStopped() })
+}
+
+// AllStoppedServers returns how many listed servers of all services have stopped by the statement of
+// their agents.
+func (s *Selection) AllStoppedServers() int {
+	return lo.SumBy(lo.Keys(s.byService), s.StoppedServers)
+}
+
 // leftAfterDraining reports whether the server of an agent has stopped as planned: it was
 // draining when it was last listed, and is no longer listed.
 func (a *Agent) leftAfterDraining() bool {
