Probe a server again before and while it counts as stopped

Cause: an agent took one refused connection at its start, or at its end, for a proof that every server with an earlier start had stopped, for as long as it ran. A server that had started a few milliseconds before the agent and listened 300 ms later states such a start. Balancers offer a stopped server no flow, and only a packet of the server on a flow ended the statement.

Evidence: `serverProbed` refused at 57.646 s, server started at 57.642 s, `serverStopped` for that start at 58.099 s and no `serverMayRun` after it; 4 of 4 servers in `stoppedServers`.

Change: internal/presence decides. The listed server has stopped if a probe is refused that began after balancers had listed it. While no server listens, the agent probes each 0.1 s; any sign of a server ends the statement, and so do 0.5 s without a refusal. The end is reported to the balancers at once. Probes of a server that runs stay two, at start and at end.

Why it works: a server that boots is not listed, so nothing is stated of it; one that is listed too early is out of service until the next probe after it listens, whatever its clock says.

--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -146,6 +146,9 @@
 	})
 }
 
+// agentStart is how much later than a server with a boot time the agent beside it starts.
+const agentStart = 5 * time.Millisecond
+
 // LosePower stops all balancers, agents and servers simultaneously, and starts them again
 // after the given time.
 func (l *Lab) LosePower(down time.Duration) {
@@ -156,7 +159,7 @@
 	}
 	for i, s := range l.servers {
 		if s.up {
-			l.RestartAgent(i, down)
+			l.RestartAgent(i, down+min(agentStart, s.service.Boot))
 			l.CrashServer(i, down)
 		}
 	}
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -89,7 +89,10 @@
 	coldRate, cold := 0, passService.Cold.String()
 	d.MaybeScanArgs(t, "coldRate", &coldRate)
 	d.MaybeScanArgs(t, "cold", &cold)
-	service := passService
+	boot := passService.Boot.String()
+	d.MaybeScanArgs(t, "boot", &boot)
+	service, portalService := passService, portalService
+	service.Boot, portalService.Boot = duration(t, boot), duration(t, boot)
 	if service.Cold = duration(t, cold); coldRate > 0 {
 		l.coldRates = map[string]float64{service.Name: float64(coldRate)}
 	}
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
@@ -18,6 +19,8 @@
 	Slots int
 	// Queue is the number of further requests that wait in a server; it refuses others.
 	Queue int
+	// Boot is how long a server takes from its start until it listens and registers.
+	Boot time.Duration
 	// Cold is how long a server is slower after its start.
 	Cold time.Duration
 	// ColdFactor multiplies the time that a server works on a request during Cold.
@@ -35,7 +38,7 @@
 	speed, slow float64
 	state       catalog.State
 	born        time.Time
-	// alive is true while the server runs, whether or not its agent does.
+	// alive is true while the server listens, whether or not its agent runs.
 	alive bool
 	// resets is true while the server resets every flow on which it receives a request.
 	resets bool
@@ -77,17 +80,32 @@
 	return s
 }
 
-// startServer starts the server under a new entry and without flows.
+// startServer starts the server under a new entry and without flows. It listens once it has booted.
 func (s *serverVM) startServer() {
 	s.lab.nextID++
 	s.id = int(s.lab.nextID)
-	s.alive, s.state, s.born = true, catalog.Ready, s.lab.clock.Now()
+	s.state, s.born = catalog.Ready, s.lab.clock.Now()
 	s.drainedAt, s.coldSyns = time.Time{}, nil
 	if s.stopsAt.After(s.lab.suddenStopAt) {
 		s.lab.suddenStopAt = s.stopsAt
 	}
 	s.flows = make(map[packet.Flow]*serverFlow)
 	s.inFlight, s.waiting = 0, nil
+	if s.service.Boot == 0 {
+		s.listen()
+		return
+	}
+	id := s.id
+	s.lab.after(s.service.Boot, func() {
+		if s.up && s.id == id && s.flows != nil {
+			s.listen()
+		}
+	})
+}
+
+// listen opens the sockets of the server and registers it.
+func (s *serverVM) listen() {
+	s.alive = true
 	if s.lab.real != nil {
 		s.lab.real.startHealth(s.app())
 	}
@@ -104,6 +122,7 @@
 		return
 	}
 	overage, slack := l.warmupBounds()
+	epoch := s.epoch
 	s.agent = packetagent.NewAgentWithTransport(packetagent.Config{
 		WarmupOverage: overage, WarmupSlack: slack,
 		Service:    catalog.ServiceID(s.service.Name),
@@ -112,20 +131,31 @@
 		MaxFlow:    maxFlow,
 		Codec:      l.codec,
 		Observe:    func(bool, time.Duration, time.Duration) {},
+		Probe:      func() { l.after(localDelay, func() { s.probe(epoch) }) },
 		Clock:      l.clock,
 		Log:        l.eventLog(s.vm),
 	}, packetagent.Transport{
 		SendFleetDatagram: func(raw []byte, to netip.AddrPort) error { l.send(raw, s.relay(), to); return nil },
 		SendToServer:      func(raw []byte) error { l.send(raw, s.outbound(), s.app()); return nil },
 	})
-	if !s.alive {
-		s.agent.RecordServerDown()
-	}
+	s.probe(epoch)
 	l.receivers[s.relay()] = s.agent.HandleFleetDatagram
 	l.receivers[s.outbound()] = func(raw []byte, _ netip.AddrPort) { s.agent.HandleServerPacket(raw) }
 	l.every(s.vm, packetagent.MaintainInterval, s.agent.Maintain)
 }
 
+// probe tells the agent of the given epoch whether the server refuses a connection.
+func (s *serverVM) probe(epoch int) {
+	if !s.up || s.epoch != epoch {
+		return
+	}
+	var err error
+	if !s.alive {
+		err = syscall.ECONNREFUSED
+	}
+	s.agent.RecordProbe(s.lab.clock.Now(), err)
+}
+
 // stopAgent stops the agent; the server keeps running.
 func (s *serverVM) stopAgent() {
 	s.epoch++
--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -25,6 +25,9 @@
 	// ShedPriority and ShedRetry count new flows that were reset because they would have been
 	// answered late while kinds of higher priority competed, or as retries of refused ones.
 	ShedPriority, ShedRetry atomic.Uint64
+	// Probes counts the connection attempts to the server that have ended, and ProbesRefused those of
+	// them that were refused.
+	Probes, ProbesRefused atomic.Uint64
 	// Bounced counts packets that the server bounced because it does not hold their flow.
 	Bounced atomic.Uint64
 	// Learned counts flows added to the table from packets of the server.
--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -37,26 +37,26 @@
 	silentDelay = 60 * time.Second
 )
 
-// maintain calls Maintain at intervals until the context ends.
+// maintain calls Maintain at once and at intervals until the context ends.
 func (a *Agent) maintain(ctx context.Context) {
 	for {
+		a.Maintain()
 		select {
 		case <-ctx.Done():
 			return
 		case <-a.config.Clock.After(MaintainInterval):
 		}
-		a.Maintain()
 	}
 }
 
-// Maintain does the periodic work: it logs a changed server state, expires requests, sends
-// reports, and removes old entries.
+// Maintain does the periodic work: it logs a changed server state, probes the server, expires
+// requests, sends reports, and removes old entries.
 func (a *Agent) Maintain() {
 	now := a.config.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.logSilence(now)
-	a.logStopped()
+	a.checkPresence(now)
 	a.expireRequests(now)
 	a.reportChangedLoad(now)
 	if now.Sub(a.sweptAt) >= sweepInterval {
@@ -120,7 +120,7 @@
 		Failures:          a.failures.share(now),
 		ServiceTime:       a.service.Mean(),
 		Service:           a.config.Service,
-		StoppedServer:     uint32(a.stoppedServer()),
+		StoppedServer:     uint32(a.presence.Stopped(now)),
 		TableComplete:     a.tableComplete(now),
 	}
 	switch {
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -47,6 +47,8 @@
 		k.recordWarmup(n, now)
 		k.born, k.coldFlowsPerSecond = n.Born, n.ColdFlowsPerSecond
 	}
+	a.presence.RecordListed(n.Born, now)
+	a.checkPresence(now)
 	return completed
 }
 
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -20,6 +20,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/flowtable"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
+	"github.com/bergamotgw/bergamotgw/internal/presence"
 	"github.com/bergamotgw/bergamotgw/internal/recent"
 	"github.com/bergamotgw/bergamotgw/internal/servicetime"
 	"github.com/bergamotgw/bergamotgw/internal/shedding"
@@ -65,6 +66,9 @@
 	// must not run twice, the time since the caller sent it, and the part of that time
 	// after its delivery to the server.
 	Observe func(once bool, total, server time.Duration)
+	// Probe starts a connection attempt to the server, whose outcome is passed to RecordProbe. It
+	// does not block. It is nil if the server is never probed.
+	Probe func()
 	// Digest handles digests of balancers; nil if the agent keeps no replica of the catalog.
 	Digest func(raw []byte, from netip.AddrPort)
 	// Clock is the source of time.
@@ -125,13 +129,12 @@
 	leaving      bool
 	// noticed is what balancers have stated about the server.
 	noticed noticed
-	// noServerAt is when no server ran, by the time of day: one that started before has stopped. It
-	// is zero if that is unknown, or after a packet of a server on a flow: the time of day may have
-	// been set back since. What the server only bounces shows that it holds no flow.
-	noServerAt time.Time
-	// statedStopped is the start of the server that was stated as stopped at the latest check; 0 if
-	// none was.
+	// presence is what is known about whether the listed server runs, and statedStopped its start if
+	// that was stated as stopped at the latest check, otherwise 0.
+	presence      presence.Presence
 	statedStopped int64
+	// probeLogged is the latest outcome of a probe that was logged.
+	probeLogged string
 	// syns counts the opening packets that were delivered to the server, and restart is the
 	// evidence that it has restarted.
 	syns    coldstart.Limiter
@@ -261,55 +264,6 @@
 	return a.load(a.config.Clock.Now())
 }
 
-// RecordServerDown records that no server ran at some time since the agent started. A server
-// that starts later holds no flow whose packets did not pass this agent.
-func (a *Agent) RecordServerDown() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.completeness.RecordServerDown()
-	a.noServerAt = a.config.Clock.Now()
-	a.recordRestart(a.completeness.Started(), "serverDown", a.config.Clock.Now())
-}
-
-// RecordServerStopped records that no server runs now, and reports that to the balancers: the
-// server that they list here holds no flow any more.
-func (a *Agent) RecordServerStopped() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.noServerAt = a.config.Clock.Now()
-	a.reportToSubscribers(a.load(a.noServerAt), a.noServerAt)
-}
-
-// stoppedServer returns the start of the server that balancers list here if it has stopped, as a
-// Unix time in milliseconds; 0 if it may run.
-func (a *Agent) stoppedServer() int64 {
-	if a.noServerAt.IsZero() || a.noticed.born >= a.noServerAt.UnixMilli() {
-		return 0
-	}
-	return a.noticed.born
-}
-
-// ListedServerStopped reports whether the agent states that the server that balancers list has stopped.
-func (a *Agent) ListedServerStopped() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.stoppedServer() != 0
-}
-
-// logStopped logs when the agent begins and ceases to state that the listed server has stopped.
-func (a *Agent) logStopped() {
-	born := a.stoppedServer()
-	if born == a.statedStopped {
-		return
-	}
-	if born != 0 {
-		a.config.Log.Warn("serverStopped").Time("started", time.UnixMilli(born)).Time("notRunningAt", a.noServerAt).Send()
-	} else {
-		a.config.Log.Info("serverMayRun").Time("started", time.UnixMilli(a.noticed.born)).Send()
-	}
-	a.statedStopped = born
-}
-
 // tableComplete reports whether the table holds every open flow of the server.
 func (a *Agent) tableComplete(now time.Time) bool {
 	return a.completeness.Complete(now)
--- /dev/null
+++ b/internal/packetagent/presence.go
@@ -0,0 +1,84 @@
+package packetagent
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/presence"
+)
+
+// RecordProbe records the outcome of a connection attempt to the server that began at the given
+// time, on the agent's own VM. Only a refused one shows that no server listened: without an answer, one may.
+func (a *Agent) RecordProbe(began time.Time, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock.Now()
+	a.counts.Probes.Add(1)
+	wasDown := a.presence.Down()
+	outcome := "refused"
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.counts.ProbesRefused.Add(1)
+		a.presence.RecordRefused(began)
+		// A server that listens later holds no flow whose packets did not pass this agent.
+		a.completeness.RecordServerDown()
+		if !wasDown && !a.leaving {
+			a.recordRestart(a.completeness.Started(), "serverDown", now)
+		}
+	case err != nil:
+		outcome = string(presence.Unanswered)
+		a.presence.RecordMayRun(presence.Unanswered, now)
+	default:
+		outcome = string(presence.Accepted)
+		a.presence.RecordMayRun(presence.Accepted, now)
+	}
+	if outcome != a.probeLogged {
+		a.probeLogged = outcome
+		a.config.Log.Info("serverProbed").Str("outcome", outcome).AnErr("reason", err).Time("began", began).Send()
+	}
+	a.checkPresence(now)
+}
+
+// recordServerPacket records that the server has sent a packet.
+func (a *Agent) recordServerPacket(now time.Time) {
+	a.presence.RecordMayRun(presence.Packet, now)
+	if a.statedStopped != 0 {
+		a.checkPresence(now)
+	}
+}
+
+// checkPresence probes the server if that is due, and tells the balancers and the log if the agent
+// begins or ceases to state that the listed server has stopped.
+func (a *Agent) checkPresence(now time.Time) {
+	if a.config.Probe != nil && a.presence.ProbeDue(now) {
+		a.config.Probe()
+	}
+	born := a.presence.Stopped(now)
+	if born == a.statedStopped {
+		return
+	}
+	if born != 0 {
+		a.config.Log.Warn("serverStopped").Time("started", time.UnixMilli(born)).Send()
+	} else {
+		a.config.Log.Info("serverMayRun").Time("started", time.UnixMilli(a.statedStopped)).
+			Str("reason", string(a.presence.Evidence(now))).Send()
+	}
+	a.statedStopped = born
+	a.reportToSubscribers(a.load(now), now)
+}
+
+// ServerDown reports whether no server listened at the latest probe.
+func (a *Agent) ServerDown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.presence.Down()
+}
+
+// ListedServerStopped reports whether the agent states that the server that balancers list has
+// stopped.
+func (a *Agent) ListedServerStopped() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.presence.Stopped(a.config.Clock.Now()) != 0
+}
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,28 +43,95 @@
 	}
 }
 
-// TestStoppedServer guards against a report that names a server as stopped which may run: balancers
-// would no longer wait for its answer about their flows.
-func TestStoppedServer(t *testing.T) {
-	a := newBenchAgent()
-	now := a.config.Clock.Now()
-	expect := func(when string, want int64) {
+// probed returns an agent with a fake clock whose server is not probed, and functions that record a
+// refused probe, a ping that states a server, and the server that reports name as stopped.
+func probed(t *testing.T) (a *Agent, clock *clockwork.FakeClock, refuse func(), notice func(born time.Time), expect func(when string, want time.Time)) {
+	a, clock = newBenchAgent(), clockwork.NewFakeClock()
+	a.config.Clock = clock
+	refuse = func() { a.RecordProbe(clock.Now(), syscall.ECONNREFUSED) }
+	notice = func(born time.Time) {
+		a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: born.UnixMilli()}, clock.Now())
+		clock.Advance(time.Millisecond)
+	}
+	expect = func(when string, want time.Time) {
 		t.Helper()
-		if got := a.Load().StoppedServer; got != uint32(want) {
-			t.Errorf("%s: stopped server %d, want %d", when, got, uint32(want))
+		stopped := uint32(0)
+		if !want.IsZero() {
+			stopped = uint32(want.UnixMilli())
+		}
+		if got := a.Load().StoppedServer; got != stopped {
+			t.Errorf("%s: stopped server %d, want %d", when, got, stopped)
 		}
 	}
-	notice := func(born time.Time) {
-		a.recordNotice(steer.Notice{ServerKnown: true, Service: a.config.Service, Born: born.UnixMilli()}, now)
-	}
-	a.RecordServerDown()
-	expect("before a balancer has named a server", 0)
-	former := now.Add(-time.Minute)
+	return a, clock, refuse, notice, expect
+}
+
+// TestStoppedServer guards against a report that names a server as stopped which may run: balancers
+// would no longer wait for its answer about their flows.
+func TestStoppedServer(t *testing.T) {
+	a, clock, refuse, notice, expect := probed(t)
+	refuse()
+	expect("before a balancer has named a server", time.Time{})
+	former := clock.Now().Add(-time.Minute)
 	notice(former)
-	expect("server of before the loss of power", former.UnixMilli())
-	notice(now.Add(time.Second))
-	expect("server that started since", 0)
+	refuse()
+	expect("server of before the loss of power", former)
+	notice(clock.Now().Add(time.Second))
+	expect("server that started since", time.Time{})
 	notice(former)
 	a.open(1)
-	expect("after a packet of a server", 0)
+	expect("after a packet of a server", time.Time{})
+}
+
+// TestServerThatBoots guards against servers that are out of service for good because they had
+// started, but did not listen yet, when their agent probed them, as after a loss of power. Their
+// start, by a clock that may have been set since, is before the probe.
+func TestServerThatBoots(t *testing.T) {
+	for _, setBack := range []time.Duration{0, 10 * time.Second} {
+		a, clock, refuse, notice, expect := probed(t)
+		born := clock.Now().Add(-5*time.Millisecond - setBack)
+		refuse()
+		clock.Advance(300 * time.Millisecond)
+		notice(born)
+		expect("listed, and not probed since", time.Time{})
+		refuse()
+		expect("listed before it listens", born)
+		clock.Advance(100 * time.Millisecond)
+		a.RecordProbe(clock.Now(), nil)
+		expect("once it listens", time.Time{})
+	}
+}
+
+// TestStoppedServerIsWithdrawn guards against balancers that believe for longer than the agent that a
+// server has stopped: the end of the statement is reported at once, also if it only lapses.
+func TestStoppedServerIsWithdrawn(t *testing.T) {
+	for name, end := range map[string]func(a *Agent, clock *clockwork.FakeClock){
+		"accepted":   func(a *Agent, clock *clockwork.FakeClock) { a.RecordProbe(clock.Now(), nil) },
+		"unanswered": func(a *Agent, clock *clockwork.FakeClock) { a.RecordProbe(clock.Now(), os.ErrDeadlineExceeded) },
+		"packet":     func(a *Agent, _ *clockwork.FakeClock) { a.open(1) },
+		"lapsed":     func(a *Agent, clock *clockwork.FakeClock) { clock.Advance(time.Second); a.Maintain() },
+	} {
+		a, clock, refuse, notice, _ := probed(t)
+		reported := uint32(0)
+		a.transport.SendFleetDatagram = func(raw []byte, _ netip.AddrPort) error {
+			if l, _, ok := steer.ParseReport(raw); ok {
+				reported = l.StoppedServer
+			}
+			return nil
+		}
+		var ping [steer.PingLen]byte
+		steer.PutPing(ping[:], steer.Notice{})
+		a.HandleFleetDatagram(ping[:], balancer)
+		notice(clock.Now().Add(-time.Minute))
+		refuse()
+		if reported == 0 {
+			t.Errorf("%s: no server reported as stopped", name)
+		}
+		if clock.Advance(time.Millisecond); reported != 0 {
+			end(a, clock)
+		}
+		if reported != 0 {
+			t.Errorf("%s: the statement was not withdrawn", name)
+		}
+	}
 }
--- a/internal/packetagent/whole_test.go
+++ b/internal/packetagent/whole_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"syscall"
 	"testing"
 
 	"github.com/bergamotgw/bergamotgw/internal/packet"
@@ -18,7 +19,7 @@
 		delivered := 0
 		a.transport.SendToServer = func([]byte) error { delivered++; return nil }
 		if down {
-			a.RecordServerDown()
+			a.RecordProbe(a.config.Clock.Now(), syscall.ECONNREFUSED)
 		}
 		a.HandleFleetDatagram(forwarded(7, packet.Packet{Ack: true, Seq: 1, AckSeq: 1, Data: []byte("x")}), balancer)
 		if queried := delivered > 0; queried == down {
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +15,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/packetagent"
 	"github.com/bergamotgw/bergamotgw/internal/packetmetrics"
 	"github.com/bergamotgw/bergamotgw/internal/packetsettings"
+	"github.com/bergamotgw/bergamotgw/internal/presence"
 	"github.com/bergamotgw/bergamotgw/internal/readiness"
 	"github.com/bergamotgw/bergamotgw/platform"
 )
@@ -30,10 +29,6 @@
 // servers and to ping its agents. No flow waits for the agent meanwhile.
 const stoppedNoticeTime = time.Second
 
-// probeTimeout limits the TCP handshake with the server on the same VM, which accepts or
-// refuses a connection within a millisecond.
-const probeTimeout = 200 * time.Millisecond
-
 // agent is an agent process of packet flows.
 type agent struct {
 	settings  packetsettings.Agent
@@ -44,10 +39,12 @@
 	replica *directory.Directory
 	metrics *packetmetrics.Metrics
 	ready   *readiness.Server
+	// probes holds a request for a probe of the server, if there is one.
+	probes chan struct{}
 }
 
 func newAgent(s packetsettings.Agent, l *eventlog.Log) (*agent, error) {
-	a := &agent{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l)}
+	a := &agent{settings: s, clock: clockwork.NewRealClock(), log: l, metrics: packetmetrics.NewMetrics(l), probes: make(chan struct{}, 1)}
 	var err error
 	a.dataPlane, err = packetagent.NewAgent(packetagent.Config{
 		Service:         catalog.ServiceID(s.Service),
@@ -61,6 +58,7 @@
 		RequestIDHeader: s.RequestIDHeader,
 		WarmupOverage:   s.WarmupOverage,
 		WarmupSlack:     s.WarmupSlack,
+		Probe:           a.requestProbe,
 		Clock:           a.clock,
 		Digest:          a.handleDigest,
 		Log:             l,
@@ -95,34 +93,45 @@
 	}
 }
 
-// probeStart detects whether the server runs already when the agent starts.
-func (a *agent) probeStart(ctx context.Context) {
-	if a.serverDown(ctx) {
-		a.dataPlane.RecordServerDown()
+// requestProbe requests a probe of the server, unless one is requested already.
+func (a *agent) requestProbe() {
+	select {
+	case a.probes <- struct{}{}:
+	default:
 	}
 }
 
-// probeStop detects whether the server has stopped before the agent does, as on a VM that is
-// removed, and then states that to balancers for stoppedNoticeTime. They need not wait for the
-// expiry of its entry to know that it holds no flow.
-func (a *agent) probeStop(ctx context.Context) {
-	if a.serverDown(ctx) {
-		a.dataPlane.RecordServerStopped()
-		<-a.clock.After(stoppedNoticeTime)
+// runProbes probes the server whenever that is requested, until the context ends.
+func (a *agent) runProbes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.probes:
+			a.probe(ctx)
+		}
 	}
 }
 
-// serverDown reports whether no server runs. Only a refused connection shows that; if the probe
-// gets no answer, the server may run.
-func (a *agent) serverDown(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
+// probe finds out whether a server listens on this VM, by a connection that it closes at once.
+func (a *agent) probe(ctx context.Context) {
+	began := a.clock.Now()
+	dialer := net.Dialer{Timeout: presence.ProbeTimeout}
 	c, err := dialer.DialContext(ctx, "tcp4", a.settings.Server.String())
 	if err == nil {
 		_ = c.Close()
 	}
-	down := errors.Is(err, syscall.ECONNREFUSED)
-	a.log.Info("serverProbed").Bool("down", down).AnErr("reason", err).Send()
-	return down
+	a.dataPlane.RecordProbe(began, err)
+}
+
+// probeStop detects whether the server has stopped before the agent does, as on a VM that is
+// removed, and then states that to balancers for stoppedNoticeTime. They need not wait for the
+// expiry of its entry to know that it holds no flow.
+func (a *agent) probeStop(ctx context.Context) {
+	a.probe(ctx)
+	if a.dataPlane.ServerDown() {
+		<-a.clock.After(stoppedNoticeTime)
+	}
 }
 
 // Run forwards packets until the context ends, and then until no request is pending, for at
@@ -137,7 +146,7 @@
 		wg.Go(func() { a.replica.Run(serving) })
 	}
 	wg.Go(func() { serveMetrics(serving, a.metrics, a.settings.Metrics, a.log) })
-	wg.Go(func() { a.probeStart(serving) })
+	wg.Go(func() { a.runProbes(serving) })
 	a.log.Info("agentStarted").Str("service", a.settings.Service).Stringer("relay", a.settings.Relay).Send()
 	<-ctx.Done()
 	a.dataPlane.Leave()
