Ask agents that state a stopped server again, and not trust it once they are silent

An agent states that the listed server has stopped, and ends that with one datagram. (1) If it was lost, or the balancer had been silent for 2 s, a balancer that neither monitors nor uses the agent never pinged it again, and offered the server no flow for as long as it was listed. (2) If the agent did not answer any more, as behind a partition, its last statement still counted: flows that the server had got since from other balancers could be reset.

Now an agent that states a stopped server is pinged like one that reports another fault, and its statement frees a search from waiting for it only if it was leaving. An agent that answers is asked like all others; it denies flows at once, as its table is complete.

Measured: selection scripts serverThatBoots and silentAfterStopped fail on the code before (agent 40 is not due for a ping; server 3 is not searched).

--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
 // LostAgents returns the agents that do not answer and whose servers no longer hold any flow.
@@ -64,7 +65,7 @@
 // silentMayHold reports whether an agent does not answer although its server may live and
 // hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
-	return a.suspect(now) && !s.foreign(a) && !a.serverStopped() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
+	return a.suspect(now) && !s.foreign(a) && !a.leftAfterServer() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
 
 // silentPastLimit reports whether an agent has not answered for so long that its server
@@ -80,6 +81,13 @@
 	return a.Load.StoppedServer != 0 && a.Load.StoppedServer == uint32(a.Server.Born)
 }
 
+// leftAfterServer reports whether the agent has stated, while it was leaving, that the listed server
+// has stopped. No packet reaches a server there before another agent answers. The statement of an
+// agent that runs holds only as long as it answers: the server may have been about to listen.
+func (a *Agent) leftAfterServer() bool {
+	return a.serverStopped() && a.Load.State == steer.Leaving
+}
+
 // NotifyStopped calls changed for each agent that states since the previous call that its listed
 // server has stopped, or no longer does.
 func (s *Selection) NotifyStopped(changed func(a Agent, stopped bool)) {
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -140,9 +140,9 @@
 
 // inUse reports whether the balancer needs the current load of an agent: it is monitored, so
 // that it may be chosen for a new flow, it holds flows that were used within inUsePeriod, or
-// it has reported a fault, whose end only its own reports show.
+// it has reported a fault or a stopped server, whose end only its own reports show.
 func (a *Agent) inUse(now time.Time) bool {
-	return a.monitored || a.sampled || now.Sub(a.LastUsedAt) < inUsePeriod || a.Load.State != steer.Up || a.Load.Failures > 0
+	return a.monitored || a.sampled || now.Sub(a.LastUsedAt) < inUsePeriod || a.Load.State != steer.Up || a.Load.Failures > 0 || a.serverStopped()
 }
 
 // outstanding returns the number of requests that are served before a further one. A report
