Do not take bounced packets for a sign that a server runs

Callers of flows that were lost with the power waited up to 3 s longer for their reset.

Cause: servers that had been told to leave before the loss of power refuse connections after it, and bounce every packet. The first bounced packet ended the statement that the listed server had stopped, at 36.58 s, so its entry counted as a server that had not just started, and every balancer kept the doubt `unconfirmedList` until 39.6 s (1,359 searches, 13 before); 456 new flows went to two such agents in vain.

A server that bounces everything serves nothing. Only a packet on a flow shows that a server runs, as before; one that starts to listen is found by the next probe.

TestServerThatOnlyBounces fails on the code before.

--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -45,11 +45,11 @@
 	}
 	a.unansweredSince = time.Time{}
 	a.logSilence(now)
-	a.recordServerPacket(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
 		return
 	}
+	a.recordServerPacket(now)
 	flow := p.FlowFromServer()
 	a.handleAnswer(flow, p, now)
 	a.sendToCaller(raw, flow)
--- a/internal/packetagent/presence.go
+++ b/internal/packetagent/presence.go
@@ -40,7 +40,8 @@
 	a.checkPresence(now)
 }
 
-// recordServerPacket records that the server has sent a packet.
+// recordServerPacket records that the server has sent a packet on a flow. What it bounces does not
+// count: a server that has left bounces all packets while it refuses connections.
 func (a *Agent) recordServerPacket(now time.Time) {
 	a.presence.RecordMayRun(presence.Packet, now)
 	if a.statedStopped != 0 {
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
+	"github.com/bergamotgw/bergamotgw/platform/standin"
 )
 
 // TestReportsToManyBalancers checks that the rate of reports does not grow with the number
@@ -79,10 +81,22 @@
 	notice(clock.Now().Add(time.Second))
 	expect("server that started since", time.Time{})
 	notice(former)
+	refuse()
 	a.open(1)
 	expect("after a packet of a server", time.Time{})
 }
 
+// TestServerThatOnlyBounces guards against callers who wait for the flows of a server that has left:
+// it bounces their packets, but refuses connections, and still counts as stopped.
+func TestServerThatOnlyBounces(t *testing.T) {
+	a, _, refuse, notice, expect := probed(t)
+	listed := a.config.Clock.Now().Add(-time.Minute)
+	notice(listed)
+	refuse()
+	a.HandleServerPacket(standin.EncodePacket(packet.Packet{SourceIP: [4]byte{100, 64}, SourcePort: 7, Ack: true, Seq: 1, AckSeq: 1, Bounced: true}))
+	expect("after a bounced packet", listed)
+}
+
 // TestServerThatBoots guards against servers that are out of service for good because they had
 // started, but did not listen yet, when their agent probed them, as after a loss of power. Their
 // start, by a clock that may have been set since, is before the probe.
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -32,7 +32,7 @@
 	Accepted Evidence = "accepted"
 	// Unanswered means that a probe was neither accepted nor refused.
 	Unanswered Evidence = "unanswered"
-	// Packet means that a packet of the server was received.
+	// Packet means that the server has sent a packet on a flow.
 	Packet Evidence = "packet"
 	// Outdated means that the latest refused probe is too old.
 	Outdated Evidence = "outdated"
