Do not compare starts across a change of the time of day

An agent that has started after its server asks that server about unknown flows. If the agent restarts while the time of day is 5 s behind, and the first ping comes once it is right again, the running server seems to have started after the agent: the agent denies its open flows, and callers get resets.

The agent now compares the time of day with the steady clock since its start. If they differ by more than the margin that flows of a former process need, starts are compared with the present time instead, so only a server that starts from now on counts as later. `clockSet` and `bergamotflow_clock_sets_total` show it. The table stays incomplete for as long as a flow may last at most, which costs a packet to the server for each unknown flow.

Not noticed, as before: a clock that was ahead when the server started, and right again before the agent started, if the first ping comes only after that start.

--- a/internal/completeness/completeness.go
+++ b/internal/completeness/completeness.go
@@ -48,7 +48,10 @@
 	// started is when the process had its sockets: no former process received packets later. Its
 	// time of day is compared with that of the server, which is on the same VM.
 	started time.Time
-	maxFlow time.Duration
+	// comparedFrom is the time with which starts of servers are compared: when the process started
+	// or, if the time of day has been set since, when that was noticed.
+	comparedFrom time.Time
+	maxFlow      time.Duration
 	// reason stays once it is not None: it holds for all later servers, too.
 	reason Reason
 	// distrusted is the latest start of a server that was later than the time of its statement;
@@ -58,7 +61,7 @@
 
 // NewTable returns what is known at the start of the process. A flow lasts at most maxFlow.
 func NewTable(started time.Time, maxFlow time.Duration) *Table {
-	return &Table{started: started, maxFlow: maxFlow}
+	return &Table{started: started, comparedFrom: started, maxFlow: maxFlow}
 }
 
 // Started returns when the process had its sockets.
@@ -73,6 +76,24 @@
 	}
 }
 
+// ComparedFrom returns the time with which starts of servers are compared.
+func (t *Table) ComparedFrom() time.Time {
+	return t.comparedFrom
+}
+
+// RecordElapsed records the time since ComparedFrom by the time of day, and by a steady clock. If
+// they differ, the time of day has been set, and a server that seems to be the later one may have
+// started before the process: from now on, starts are compared with the present time. Differences
+// up to StartMargin do not matter, as a flow of a former process needs as long. RecordElapsed
+// returns true if the time of day has been set.
+func (t *Table) RecordElapsed(byDay, steady time.Duration, now time.Time) bool {
+	if (byDay - steady).Abs() <= StartMargin {
+		return false
+	}
+	t.comparedFrom = now
+	return true
+}
+
 // RecordServer records a statement about a server of the agent's service at its address. It
 // returns true if that has completed the table.
 func (t *Table) RecordServer(s Server, now time.Time) bool {
@@ -85,9 +106,9 @@
 		return false
 	}
 	switch {
-	case s.Born > t.started.UnixMilli():
+	case s.Born > t.comparedFrom.UnixMilli():
 		t.reason = ServerStartedLater
-	case s.CommonStart && s.Born >= t.started.Add(-StartMargin).UnixMilli():
+	case s.CommonStart && t.comparedFrom.Equal(t.started) && s.Born >= t.started.Add(-StartMargin).UnixMilli():
 		t.reason = StartedTogether
 	}
 	return t.reason != None
--- a/internal/completeness/completeness_test.go
+++ b/internal/completeness/completeness_test.go
@@ -10,8 +10,8 @@
 // TestTable guards against packets that are denied by an agent whose server holds their flow, and
 // against queries to servers that cannot hold it. Times are those of the VM's time of day in
 // milliseconds: "process" starts an agent, "down" records that no server runs, and "server"
-// passes a statement of a balancer that arrives at the given time. Each prints the reason why the
-// table is complete.
+// passes a statement of a balancer that arrives at the given time. With "steady" the agent notices
+// before how long it has run by the steady clock. Each prints the reason why the table is complete.
 func TestTable(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var table *Table
@@ -20,6 +20,9 @@
 			d.ScanArgs(t, "at", &at)
 			d.MaybeScanArgs(t, "born", &born)
 			now := time.UnixMilli(at)
+			if steady := int64(0); d.MaybeScanArgs(t, "steady", &steady) {
+				table.RecordElapsed(now.Sub(table.ComparedFrom()), time.Duration(steady)*time.Millisecond, now)
+			}
 			switch d.Cmd {
 			case "process":
 				table = NewTable(now, time.Minute)
--- a/internal/packetagent/counts.go
+++ b/internal/packetagent/counts.go
@@ -25,6 +25,8 @@
 	// ShedPriority and ShedRetry count new flows that were reset because they would have been
 	// answered late while kinds of higher priority competed, or as retries of refused ones.
 	ShedPriority, ShedRetry atomic.Uint64
+	// ClockSets counts how often the time of day was found to have been set.
+	ClockSets atomic.Uint64
 	// Probes counts the connection attempts to the server that have ended, and ProbesRefused those of
 	// them that were refused.
 	Probes, ProbesRefused atomic.Uint64
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -37,6 +37,7 @@
 	if !n.ServerKnown || n.Service != a.config.Service {
 		return false
 	}
+	a.checkClock(now)
 	completed = a.completeness.RecordServer(completeness.Server{Born: n.Born, CommonStart: n.CommonStart}, now)
 	if completed || n.Born > a.noticed.born && !a.tableComplete(now) {
 		event := lo.Ternary(completed, "tableCompleted", "tableIncomplete")
@@ -64,3 +65,14 @@
 		k.coldUntil = now
 	}
 }
+
+// checkClock records and logs whether the time of day has been set.
+func (a *Agent) checkClock(now time.Time) {
+	since := a.completeness.ComparedFrom()
+	// Round removes the reading of the steady clock, so the difference is one of times of day.
+	byDay, steady := now.Round(0).Sub(since.Round(0)), now.Sub(since)
+	if a.completeness.RecordElapsed(byDay, steady, now) {
+		a.counts.ClockSets.Add(1)
+		a.config.Log.Warn("clockSet").Dur("by", byDay-steady).Bool("tableComplete", a.tableComplete(now)).Send()
+	}
+}
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -102,6 +102,7 @@
 	m.counter("server_restarts_assumed_total", "Restarts of the server that were inferred before a balancer stated them.", c.AssumedRestarts.Load)
 	m.counter("flows_shed_priority_total", "New flows reset because they would have been answered late while kinds of higher priority competed.", c.ShedPriority.Load)
 	m.counter("flows_shed_retry_total", "Retries of refused flows reset because they would have been answered late.", c.ShedRetry.Load)
+	m.counter("clock_sets_total", "Times that the time of day was found to have been set, or the VM suspended.", c.ClockSets.Load)
 	m.counter("server_probes_total", "Connection attempts to find out whether a server listens.", c.Probes.Load)
 	m.counter("server_probes_refused_total", "Those of them that were refused, so that no server listened.", c.ProbesRefused.Load)
 	m.counter("packets_bounced_total", "Packets that the server bounced because it does not hold their flow.", c.Bounced.Load)
