Wait for a silent agent whose place lists a server with an earlier start

Of two servers at one address the one with the later start counts as the present one, so that a backup of the store does not bring a former one back. If the time of day of the VM has been set back between their starts, the present one is taken for former until the other's entry has been missing for 2.5 s. If the former one had drained, its agent's silence then held up no reset, and flows that the present one had got from other balancers could be reset.

Now an entry with an earlier start at the place forbids that conclusion. The server still gets no new flow from that balancer for up to 2.5 s: without its entries' history a balancer cannot tell it from a former server.

--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -27,6 +27,9 @@
 	}
 	s.epoch = servers.Epoch
 	listed := s.newestByPlace(servers)
+	for _, a := range s.agents {
+		a.earlierListed = false
+	}
 	maps.DeleteFunc(listed, s.former)
 	for at, v := range listed {
 		s.setListed(at, v, now)
@@ -78,12 +81,17 @@
 	return place{netip.AddrPortFrom(v.Address, s.port), v.Service}
 }
 
-// former reports whether a listed server is a former one at its place: a server that started
-// later was listed there a moment ago. The platform lists it again after a return from a
-// backup, until its entry expires; that of the present one returns sooner.
+// former reports whether a listed server seems to be a former one at its place: a server that
+// started later was listed there a moment ago. The platform lists it again after a return from a
+// backup, until its entry expires; that of the present one returns sooner. It may be the present one
+// instead, whose VM has a clock that is behind, so this is recorded.
 func (s *Selection) former(at place, v catalog.Server) bool {
 	a := s.agents[at]
-	return a != nil && v.Born < a.Server.Born && s.unlistedFor(a) < removedAfter
+	if a == nil || v.Born >= a.Server.Born || s.unlistedFor(a) >= removedAfter {
+		return false
+	}
+	a.earlierListed = true
+	return true
 }
 
 // setListed stores the entry of a listed server. A server that has restarted, or has
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -85,6 +85,9 @@
 	// UnlistedSince is when the server was first missing from the list; zero if it is listed.
 	UnlistedSince time.Time
 
+	// earlierListed is true while only a server with an earlier start is listed at the place.
+	earlierListed bool
+
 	hash uint64
 	// changed is the number of the latest change of the agent, as Selection.changes counts them.
 	changed uint64
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -112,7 +112,8 @@
 }
 
 // leftAfterDraining reports whether the server of an agent has stopped as planned: it was
-// draining when it was last listed, and is no longer listed.
+// draining when it was last listed, and is no longer listed. A server that is listed there instead
+// may hold flows, even if it states an earlier start.
 func (a *Agent) leftAfterDraining() bool {
-	return a.Server.State == catalog.Draining && !a.UnlistedSince.IsZero()
+	return a.Server.State == catalog.Draining && !a.UnlistedSince.IsZero() && !a.earlierListed
 }
