Do not rely on readings of programs that do not know epochs

A balancer that starts beside programs of before epochs can take over their list, which states epoch 0. Their readings then confirmed it, and they counted as readers before it, so it never read the platform, and missed what changes after a return from a backup.

Whether a digest states an epoch now decides, not whether the epoch is 0: a sender that states none confirms no list, and is no reader for others.

--- a/internal/directory/confirm_test.go
+++ b/internal/directory/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/netip"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 func TestDigestsThatConfirmNothing(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	d := NewDirectory(Config{
+		Send: func([]byte, netip.AddrPort) {},
 		Self: netip.MustParseAddrPort("127.0.0.1:1"), PeerPort: 1, Bounds: bounds.Default(), Clock: clock,
 		Changed: func(*catalog.Catalog, []Expired) {}, Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	})
@@ -57,6 +59,30 @@
 	}
 }
 
+// TestOlderProgramsConfirmNothing guards against a balancer that takes over the list of a program
+// which does not know epochs, and never reads the platform itself: that program's readings confirm
+// the list, also after the platform has returned from a backup.
+func TestOlderProgramsConfirmNothing(t *testing.T) {
+	for _, statesEpoch := range []bool{true, false} {
+		d, clock := newQuietDirectory(false)
+		d.applyRoutes(catalog.Routes{Version: 1}, "platform")
+		d.applyServers(catalog.NewServers(position.Position{Revision: 7}, nil), 0, "platform")
+		clock.Advance(time.Second)
+		var raw [steer.DigestMaxLen]byte
+		n := steer.PutDigest(raw[:], d.freshness(), nil)
+		if !statesEpoch {
+			n -= epochLen
+		}
+		from := netip.MustParseAddrPort("127.0.0.1:1")
+		binary.BigEndian.PutUint32(raw[ageOffset:], 0)
+		d.HandleDigest(t.Context(), raw[:n], from)
+		age, _ := d.Age()
+		if rank, _ := d.rank(member.reads); (age == 0) != statesEpoch || (rank == 1) != statesEpoch {
+			t.Errorf("epoch stated %t: the list is %v old, rank %d after the sender's", statesEpoch, age, rank)
+		}
+	}
+}
+
 // TestAgeOfAppliedList guards against a list that counts as read in the future, after which a
 // balancer neither reads nor fetches: another directory has the list in force, but has not
 // recorded when it was read, or states an age out of bounds.
@@ -65,6 +91,7 @@
 	passing, passed := make(chan struct{}), make(chan struct{})
 	newDirectory := func(changed func(*catalog.Catalog, []Expired)) *Directory {
 		return NewDirectory(Config{
+			Send: func([]byte, netip.AddrPort) {},
 			Self: netip.MustParseAddrPort("127.0.0.1:1"), PeerPort: 1, Bounds: bounds.Default(), Clock: clock,
 			Changed: changed, Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 		})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -143,6 +143,8 @@
 	// leaving is true if it was about to stop then. It forwards packets until it stops, so it
 	// still receives digests, but no other balancer waits for its readings.
 	leaving bool
+	// statesEpoch is true if it is a program that knows epochs.
+	statesEpoch bool
 	// failing is true if its latest read of the platform had failed.
 	failing bool
 	// evacuations is true if it reads the evacuated zones, or the deployment has none.
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -139,7 +139,7 @@
 		// Both have started together and need to know the order of readers.
 		go d.sendDigestTo(from)
 	}
-	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, evacuations: d.readsEvacuations(f)}
+	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, statesEpoch: f.StatesEpoch, evacuations: d.readsEvacuations(f)}
 	if d.config.Replica {
 		members = nil
 	}
@@ -165,10 +165,11 @@
 
 // confirms reports whether the reading that a digest states confirms the catalog in force: it
 // showed the same servers at the same or a later position, and its sender has no newer routes. A
-// balancer that cannot fetch those must not rely on the sender's readings. The caller holds the
+// balancer that cannot fetch those must not rely on the sender's readings, nor on those of a program
+// that does not know epochs: the platform may have returned from a backup. The caller holds the
 // lock.
 func (d *Directory) confirms(f steer.Freshness) bool {
-	return f.Revision > 0 && d.readsEvacuations(f) && d.shows(f)
+	return f.Revision > 0 && f.StatesEpoch && d.readsEvacuations(f) && d.shows(f)
 }
 
 // shows reports whether a reading has the same servers as the catalog in force, at the same or a
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -175,7 +175,7 @@
 // or from an unknown one: their lists would not be applied. Nor do those that do not read the
 // evacuated zones.
 func (m member) mayRead(epoch uint64) bool {
-	return !m.leaving && m.epoch >= epoch && m.evacuations
+	return !m.leaving && m.statesEpoch && m.epoch >= epoch && m.evacuations
 }
 
 // reads reports whether a balancer reads the platform for others.
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -19,6 +19,9 @@
 	// Position is the state of the platform at which the servers were read; zero if they
 	// never were.
 	position.Position
+	// StatesEpoch is true for a digest that was received with an epoch, even if that is 0. Programs
+	// that do not know epochs state none, and their readings hold none.
+	StatesEpoch bool
 	// EvacuationsAt is the state of the platform at which the evacuated zones were read; zero if
 	// they never were.
 	EvacuationsAt position.Position
@@ -58,7 +61,7 @@
 )
 
 // PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
-// and returns its length.
+// and returns its length. It always states the epoch.
 func PutDigest(b []byte, f Freshness, members []netip.AddrPort) int {
 	b[0], b[kindOffset] = magic, byte(Digest)
 	binary.BigEndian.PutUint64(b[2:], f.RoutesVersion)
@@ -110,6 +113,7 @@
 	return Freshness{
 		RoutesVersion: binary.BigEndian.Uint64(b[2:]),
 		Position:      at,
+		StatesEpoch:   len(rest) >= epochLen,
 		EvacuationsAt: evacuationsAt,
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -93,7 +93,7 @@
 			RoutesVersion: rapid.Uint64().Draw(t, "version"), Position: position.Position{Epoch: rapid.Uint64().Draw(t, "epoch"), Revision: rapid.Uint64().Draw(t, "revision")},
 			Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond, Sum: rapid.Uint64().Draw(t, "sum"),
 			Leaving: rapid.Bool().Draw(t, "leaving"), Corroborated: rapid.Bool().Draw(t, "corroborated"),
-			Replica: rapid.Bool().Draw(t, "replica"),
+			Replica: rapid.Bool().Draw(t, "replica"), StatesEpoch: true,
 		}
 		fresh.EvacuationsAt = position.Position{Epoch: rapid.Uint64().Draw(t, "evacuationsEpoch"), Revision: rapid.Uint64Min(1).Draw(t, "evacuationsRevision")}
 		members := []netip.AddrPort{drawAddress(t), drawAddress(t)}
@@ -107,7 +107,7 @@
 		if short := PutDigest(digest[:], fresh, members); short != n-evacuationsLen {
 			t.Fatalf("digest without evacuations of %d bytes, want %d", short, n-evacuationsLen)
 		}
-		fresh.Epoch, n = 0, n-evacuationsLen
+		fresh.Epoch, fresh.StatesEpoch, n = 0, false, n-evacuationsLen
 		if got, _, ok := ParseDigest(digest[:n-epochLen]); !ok || got != fresh {
 			t.Fatalf("digest without epoch %t %+v, want %+v", ok, got, fresh)
 		}
