Answer the first digest of a balancer

TestCallsAfterLoss failed in whole runs ("22 calls of 42 balancers after the loss of 6"), and was a known failure.

Cause: a trace of the calls showed two balancers that each called alone every 0.7 s: they knew only the balancer that the settings name, and had received no digest in 2.7 s. A balancer sends digests to 16 others in a round. One that knows 47 leaves out a newcomer in eight rounds with a chance of 4 %, and names it to few others, so some of 48 balancers stay unknown for seconds; if those named in the settings are then lost, for good. Each of them reads the platform for itself, so calls grow with the fleet.

A balancer answered the first digest of another one only while it had no catalog itself. Now it always does, once: the newcomer learns the first readers and others at once, and they learn of it. Without the answer, three rounds from 40 newcomers to one balancer are answered by none.

TestFirstDigestIsAnswered fails on the code before (0 of 40).

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -135,8 +135,8 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.members[from].lastReceived.IsZero() && !d.catalog.Load().Complete() && !d.config.Replica {
-		// Both have started together and need to know the order of readers.
+	if d.members[from].lastReceived.IsZero() && !d.config.Replica {
+		// The sender may know nobody else: the next rounds of digests may all leave it out.
 		go d.sendDigestTo(from)
 	}
 	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, statesEpoch: f.StatesEpoch, evacuations: d.readsEvacuations(f)}
--- a/internal/directory/readers_test.go
+++ b/internal/directory/readers_test.go
@@ -1,13 +1,20 @@
 package directory
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
 
 // startFleet starts balancers with the numbers 1 to n, and waits until all have the first list and
@@ -85,6 +92,45 @@
 	}
 }
 
+// TestFirstDigestIsAnswered guards against a balancer that reads the platform alone for seconds, or for
+// good if the balancers named in its settings are lost: it knows only them, and each sends digests to
+// 16 others in a round. The first digest of a balancer is answered, and only that one.
+func TestFirstDigestIsAnswered(t *testing.T) {
+	const senders, rounds = 40, 3
+	f := newFleet(t)
+	f.store.publish(1, 1, "a")
+	answered := make(chan netip.AddrPort, senders*rounds)
+	d := NewDirectory(Config{
+		Self: netip.AddrPortFrom(numbered(1), 7000), Bounds: bounds.Default(), Source: f.source(numbered(1)),
+		Send:    func(_ []byte, to netip.AddrPort) { answered <- to },
+		Changed: func(*catalog.Catalog, []Expired) {}, Confirmed: func() {},
+		Clock: clockwork.NewRealClock(), Log: eventlog.NewDirectLog(zerolog.Nop(), clockwork.NewRealClock()),
+	})
+	if err := d.read(context.Background(), 0, false); err != nil || !d.Catalog().Complete() {
+		t.Fatalf("no complete catalog: %v", err)
+	}
+	var b [steer.DigestMaxLen]byte
+	n := steer.PutDigest(b[:], d.freshness(), nil)
+	for range rounds {
+		for i := range senders {
+			d.HandleDigest(context.Background(), b[:n], netip.AddrPortFrom(numbered(2+i), 7000))
+		}
+	}
+	got := make(map[netip.AddrPort]int)
+	for deadline := time.After(100 * time.Millisecond); ; {
+		select {
+		case to := <-answered:
+			got[to]++
+			continue
+		case <-deadline:
+		}
+		break
+	}
+	if len(got) != senders || lo.Max(lo.Values(got)) > 1 {
+		t.Errorf("%d of %d balancers were answered, one of them %d times; want all, once each", len(got), senders, lo.Max(lo.Values(got)))
+	}
+}
+
 // TestReadDelay checks, for any bounds and any number of balancers, that no list becomes older
 // than the bound allows, and that each balancer waits at least as long as those before it.
 func TestReadDelay(t *testing.T) {
