Restart the corroboration period after a gap in the readings

Cause: a list of servers counted as complete 3 s after the first reading. The platform was unavailable twice more in these 3 s, all entries expired once more, and the balancer, which had started after the first expiry, had never read any: with an empty list nobody holds a flow.

Evidence: flowsAsked with 0 agents at 14.870 s, readings from 11.59 s on, failed at about 13.0 and 13.7 s, flowReset at 15.099 s; the entries return at 15.677 s.

The period now begins again after a gap between two readings, until the list was complete once. The emulator's balancers follow the same rule.

TestGapRestartsCorroboration fails on the code before.

--- a/internal/directory/confirm_test.go
+++ b/internal/directory/confirm_test.go
@@ -83,6 +83,38 @@
 	}
 }
 
+// TestGapRestartsCorroboration guards against a balancer that takes its list for complete although the
+// platform was unavailable again within 3 s of its first reading: entries that expired then, and
+// that it has never read, return within 2 s. A list that was complete before a gap stays so.
+func TestGapRestartsCorroboration(t *testing.T) {
+	d, clock := newQuietDirectory(false)
+	read := func(after time.Duration) {
+		clock.Advance(after)
+		d.applyServers(catalog.NewServers(position.Position{Epoch: 1, Revision: 7}, nil), 0, "platform")
+	}
+	expect := func(when string, want bool) {
+		t.Helper()
+		if got := d.Corroborated(); got != want {
+			t.Errorf("%s: corroborated %t, want %t", when, got, want)
+		}
+	}
+	readFor := func(span time.Duration) {
+		for ; span > 0; span -= readInterval {
+			read(readInterval)
+		}
+	}
+	read(0)
+	readFor(2100 * time.Millisecond)
+	read(1400 * time.Millisecond)
+	expect("3.5 s after the first reading, right after a gap", false)
+	readFor(2100 * time.Millisecond)
+	expect("2.1 s after the gap", false)
+	readFor(1400 * time.Millisecond)
+	expect("3.5 s after the gap", true)
+	read(5 * time.Second)
+	expect("after a gap in which the list was complete", true)
+}
+
 // TestAgeOfAppliedList guards against a list that counts as read in the future, after which a
 // balancer neither reads nor fetches: another directory has the list in force, but has not
 // recorded when it was read, or states an age out of bounds.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,6 +90,9 @@
 	// force were read from the platform, by this balancer or another one. They are not zero if
 	// the catalog has servers, and never later than now.
 	firstReadAt, readAt time.Time
+	// readableSince is when the first catalog was read or, if the platform could not be read for a
+	// while before this directory was corroborated, the first one after that.
+	readableSince time.Time
 	// evacuationsReadAt is when the set of evacuated zones in force was read; zero if it never was.
 	evacuationsReadAt time.Time
 	// sum is the hash of the servers and evacuated zones in the catalog.
@@ -275,7 +278,7 @@
 
 // corroboratedLocked is Corroborated for a caller that holds the lock.
 func (d *Directory) corroboratedLocked() bool {
-	return d.confirmed || d.readAt.Sub(d.firstReadAt) > corroborationPeriod
+	return d.confirmed || d.readAt.Sub(d.readableSince) > corroborationPeriod
 }
 
 // NoCorroboratedPeer reports whether no other balancer has a complete list of the servers that may
@@ -322,7 +325,7 @@
 	d.history.addServers(next.Servers, sum)
 	d.advanceReading(at)
 	if d.firstReadAt.IsZero() {
-		d.firstReadAt = d.readAt
+		d.firstReadAt, d.readableSince = d.readAt, d.readAt
 	}
 	d.mu.Unlock()
 	if former := before.Servers.Position; former.Epoch > 0 && s.Epoch > former.Epoch {
@@ -344,6 +347,12 @@
 		return
 	}
 	overdue := !d.readAt.IsZero() && at.Sub(d.readAt) > d.pace(readInterval+rankStep)
+	// What was listed before a gap is remembered, so a list that was complete stays so. Before, entries
+	// may have expired in the gap that this directory has never read.
+	d.confirmed = d.confirmed || d.corroboratedLocked()
+	if overdue && !d.confirmed {
+		d.readableSince = at
+	}
 	d.readAt = at
 	d.recordPassed()
 	if overdue && !d.config.Replica {
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -97,11 +97,12 @@
 	lab      *Lab
 	balancer *packetbalancer.Balancer
 	catalog  *catalog.Catalog
-	// firstReadAt and readAt are when the process first and last read the platform.
-	firstReadAt, readAt time.Time
+	// readAt is when the process last read the platform, and readableSince since when it has read it
+	// without a failure while the list was not known to be complete.
+	readAt, readableSince time.Time
 	// everListed holds every server that was listed since the process started.
 	everListed map[string]catalog.Server
-	// confirmed is true if a corroborated balancer has sent the entries that expired.
+	// confirmed is true once the list was known to be complete: what is listed is remembered.
 	confirmed bool
 	// older is true if it behaves as a program that does not know of evacuations.
 	older bool
@@ -138,7 +139,7 @@
 	}
 	b.epoch++
 	b.up, b.routedUntil, b.disturbedAt = true, time.Time{}, l.clock.Now()
-	b.firstReadAt, b.readAt, b.everListed = time.Time{}, time.Time{}, make(map[string]catalog.Server)
+	b.readAt, b.readableSince, b.everListed = time.Time{}, time.Time{}, make(map[string]catalog.Server)
 	b.catalog = catalog.NewCatalog()
 	if l.real != nil {
 		l.real.startBalancer(b)
@@ -197,7 +198,7 @@
 // balancer has read the platform for long enough that every expired entry has returned, or
 // a balancer that has such a list has sent its expired entries.
 func (b *balancerVM) corroborated() bool {
-	return b.confirmed || b.readAt.Sub(b.firstReadAt) > corroborationTime
+	return b.confirmed || !b.readableSince.IsZero() && b.readAt.Sub(b.readableSince) > corroborationTime
 }
 
 // anyCorroborated reports whether a balancer runs that has a complete list of the servers
@@ -245,16 +246,20 @@
 	b.routedUntil = b.disturbedAt.Add(probeDelay)
 }
 
-// read replaces the catalog by the routes and servers that the platform lists. It does
-// nothing while the platform is unreachable.
+// read replaces the catalog by the routes and servers that the platform lists. While the platform is
+// unreachable, it only records that.
 func (b *balancerVM) read() {
 	p := &b.lab.platform
+	b.confirmed = b.confirmed || b.corroborated()
 	if p.down || b.cut {
+		if !b.confirmed {
+			b.readableSince = time.Time{}
+		}
 		return
 	}
 	b.readAt = b.lab.clock.Now()
-	if b.firstReadAt.IsZero() {
-		b.firstReadAt = b.readAt
+	if b.readableSince.IsZero() {
+		b.readableSince = b.readAt
 	}
 	servers := catalog.NewServers(p.at, p.list(b.lab)).WithEvacuations(b.evacuations())
 	b.catalog = b.catalog.WithRoutes(p.routes).WithServers(servers)
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -30,8 +30,9 @@
 // own. In 10097 the agent of the only server of a service refused every flow after a crash of
 // the server. In 40093 servers that restarted during their drains stopped, as the last faults,
 // within the time in which requests must be served. In 500049 and 500129 agents admitted flows to
-// cold servers before the first ping and did not count them.
-var failedSeeds = []uint64{46, 136, 155, 217, 1014, 5022, 5031, 10097, 40093, 500_049, 500_129}
+// cold servers before the first ping and did not count them. In 50658 a balancer whose first list was
+// empty took that for complete after a second outage of the platform.
+var failedSeeds = []uint64{46, 136, 155, 217, 1014, 5022, 5031, 10097, 40093, 50658, 500_049, 500_129}
 
 const (
 	randomFrom  = 4 * time.Second
