Do not infer a common start of all servers from an empty list

While no other balancer has a complete list, one whose listed servers have all just started counts as complete, as after a loss of power. An empty list fulfilled that, and one with entries of another writer only: a balancer that starts after all entries have expired could reset the flows of servers that run.

The inference now needs at least one listed server of a service of ours.

Measured: selection script emptyList fails on the code before (true for an empty list).

--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -123,9 +123,11 @@
 // AllRecentlyStarted reports whether every listed server had recently started when it was first
 // listed here, as after a power loss: flows that none of them holds are then older than the
 // servers. A server whose agent states that it has stopped does not count: its entry is about to
-// expire, and says nothing about when the others started.
+// expire, and says nothing about when the others started. An empty list says nothing about any: all
+// entries may have expired while the platform was unavailable.
 func (s *Selection) AllRecentlyStarted() bool {
-	return lo.EveryBy(lo.Values(s.agents), func(a *Agent) bool { return a.recentlyStarted || !s.mayRun(a) })
+	listed := lo.Filter(lo.Values(s.agents), func(a *Agent, _ int) bool { return a.UnlistedSince.IsZero() && !s.foreign(a) })
+	return len(listed) > 0 && lo.EveryBy(listed, func(a *Agent) bool { return a.recentlyStarted || !s.mayRun(a) })
 }
 
 // AllStartedTogether reports whether every listed server has started together with this balancer,
