Name servers that have been missing for long to restarted balancers

Cause: servers whose entries stay missing in the store live and serve, and balancers that run know their agents for as long as a flow may last, 60 s. A directory named such a server to others for 5 s only, and still told a balancer that starts later that its list was complete: that one took the denial of all agents that it knew for a proof that no server holds the flow.

A directory now keeps such a server for as long as a flow may last, unless it had drained, and names it to callers whose lists are not complete; others get it for 5 s, as before. One that has been missing for more than 5 s gets no new flow.

--- a/internal/directory/confirm_test.go
+++ b/internal/directory/confirm_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
@@ -115,6 +118,41 @@
 	expect("after a gap in which the list was complete", true)
 }
 
+// TestServersMissingForLong guards against a balancer that resets the flows of servers which live, but do
+// not reach the platform: it has started after their entries expired, and no other balancer names them.
+func TestServersMissingForLong(t *testing.T) {
+	d, clock := newQuietDirectory(false)
+	list := func(servers ...catalog.Server) {
+		d.applyServers(catalog.NewServers(position.Position{Epoch: 1, Revision: 7}, servers), 0, "platform")
+	}
+	server := func(id string, state catalog.State) catalog.Server {
+		return catalog.Server{ID: id, Service: "pass", Zone: "a", State: state, Slots: 1, Address: netip.MustParseAddr("10.0.0.1")}
+	}
+	list(server("listed", catalog.Ready), server("missing", catalog.Ready), server("drained", catalog.Draining))
+	for _, c := range []struct {
+		after        time.Duration
+		corroborated bool
+		want         string
+	}{
+		{time.Second, true, "[drained missing]"},
+		{30 * time.Second, false, "[missing]"},
+		{0, true, "[]"},
+		{31 * time.Second, false, "[]"},
+	} {
+		clock.Advance(c.after)
+		list(server("listed", catalog.Ready))
+		r, err := d.serveCatalog(t.Context(), nil, catalogParams{Corroborated: c.corroborated})
+		if err != nil {
+			t.Fatal(err)
+		}
+		named := lo.Map(r.Expired, func(e expiredEntry, _ int) string { return e.Server.ID })
+		slices.Sort(named)
+		if got := fmt.Sprint(named); got != c.want {
+			t.Errorf("%v later, to a caller with a complete list %t: %s, want %s", c.after, c.corroborated, got, c.want)
+		}
+	}
+}
+
 // TestAgeOfAppliedList guards against a list that counts as read in the future, after which a
 // balancer neither reads nor fetches: another directory has the list in force, but has not
 // recorded when it was read, or states an age out of bounds.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -49,6 +49,8 @@
 	Evacuations bool
 	// Bounds are the time bounds of the deployment.
 	Bounds bounds.Bounds
+	// MaxFlow is how long a flow may last.
+	MaxFlow time.Duration
 	// Source reads the platform.
 	Source Source
 	// Send sends a datagram to another balancer.
@@ -360,8 +362,9 @@
 	}
 }
 
-// updateExpired records the servers that are in the former list only, and drops those
-// that are listed again or expired long ago. The caller holds the lock.
+// updateExpired records the servers that are in the former list only, and drops those that are listed
+// again, have left after draining, or are missing for longer than a flow may last. Others may live and
+// hold flows although they do not reach the platform. The caller holds the lock.
 func (d *Directory) updateExpired(before, after []catalog.Server) {
 	now := d.config.Clock.Now()
 	for _, v := range before {
@@ -373,7 +376,8 @@
 		delete(d.expired, v.ID)
 	}
 	for id, l := range d.expired {
-		if now.Sub(l.Since) > expiredRetention {
+		missing := now.Sub(l.Since)
+		if missing > d.config.MaxFlow || missing > expiredReturn && l.Server.State == catalog.Draining {
 			delete(d.expired, id)
 		}
 	}
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -98,7 +98,7 @@
 func newQuietDirectory(evacuations bool) (*Directory, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	return NewDirectory(Config{
-		Self: netip.MustParseAddrPort("127.0.0.2:1"), Evacuations: evacuations, Bounds: bounds.Default(), Clock: clock,
+		Self: netip.MustParseAddrPort("127.0.0.2:1"), Evacuations: evacuations, Bounds: bounds.Default(), MaxFlow: time.Minute, Clock: clock,
 		Send:    func([]byte, netip.AddrPort) {},
 		Changed: func(*catalog.Catalog, []Expired) {}, Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}), clock
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -23,9 +23,10 @@
 	maxDigests = 16
 	// memberRetention is how long digests are still sent to a silent balancer.
 	memberRetention = 60 * time.Second
-	// expiredRetention is how long a server whose entry has expired is kept; entries that
-	// expired in an outage return sooner.
-	expiredRetention = 5 * time.Second
+	// expiredReturn is how long after its entry has expired a server is named to all other balancers;
+	// entries that expired in an outage return sooner. Later it is named only to those whose lists
+	// are not complete, which may never have read it.
+	expiredReturn = 5 * time.Second
 	// seedTimeout limits the wait for the balancers named in the settings, which answer
 	// within a few round trips unless they are down.
 	seedTimeout = 300 * time.Millisecond
@@ -49,6 +50,9 @@
 	Sum uint64 `json:"sum"`
 	// EvacuationsAt is the position of the set of evacuated zones that the caller has.
 	EvacuationsAt position.Position `json:"evacuationsAt,omitzero"`
+	// Corroborated is true if the caller's list is complete, together with the expired entries that it
+	// has.
+	Corroborated bool `json:"corroborated,omitempty"`
 }
 
 // catalogResult holds what the caller lacks, as complete lists or as deltas.
@@ -220,7 +224,10 @@
 	defer func() { _ = c.Close() }()
 	base, sum := d.current()
 	requestedAt := d.config.Clock.Now()
-	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{base.Routes.Version, base.Servers.Position, sum, base.Servers.Evacuations.Position})
+	r, err := rpc.Call[catalogResult](ctx, c, catalogMethod, catalogParams{
+		RoutesVersion: base.Routes.Version, Position: base.Servers.Position, Sum: sum,
+		EvacuationsAt: base.Servers.Evacuations.Position, Corroborated: d.Corroborated(),
+	})
 	if err != nil {
 		d.config.Log.Debug("fetchFailed").Stringer("balancer", from).Err(err).Send()
 		return
@@ -315,7 +322,9 @@
 	c := d.catalog.Load()
 	r.Corroborated = d.corroboratedLocked()
 	for _, l := range d.expired {
-		r.Expired = append(r.Expired, expiredEntry{l.Server, now.Sub(l.Since).Milliseconds()})
+		if missing := now.Sub(l.Since); missing <= expiredReturn || !p.Corroborated {
+			r.Expired = append(r.Expired, expiredEntry{l.Server, missing.Milliseconds()})
+		}
 	}
 	if c.Routes.Version > p.RoutesVersion {
 		d.history.routesSince(p.RoutesVersion, c.Routes, &r)
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -178,6 +178,7 @@
 		Zone:        "a",
 		Seeds:       lo.Times(f.seeds, func(i int) netip.Addr { return numbered(i + 1) }),
 		Bounds:      bounds.Default(),
+		MaxFlow:     time.Minute,
 		Evacuations: f.store.evacuations.Known(),
 		Source:      source,
 		Send: func(b []byte, to netip.AddrPort) {
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -226,7 +226,7 @@
 func (b *Balancer) Expire(v catalog.Server, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.selection.Expire(v, since)
+	b.selection.Expire(v, since, b.config.Clock.Now())
 }
 
 // Utilization returns how evenly the agents that report to this balancer are loaded.
--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -73,6 +73,7 @@
 			PeerPort:    s.Seeds[0].Port(),
 			Replica:     true,
 			Bounds:      s.Bounds(),
+			MaxFlow:     s.MaxFlow(),
 			Zone:        s.Zone,
 			Evacuations: s.EvacuateMillis > 0,
 			Send:        a.dataPlane.Send,
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -58,6 +58,7 @@
 		ReplicaPort: s.AgentPort,
 		Zone:        s.Zone,
 		Bounds:      s.Bounds(),
+		MaxFlow:     s.MaxFlow(),
 		Evacuations: s.EvacuateMillis > 0,
 		Seeds:       lo.Map(s.Seeds, func(a netip.AddrPort, _ int) netip.Addr { return a.Addr() }),
 		Source: directory.Source{
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -51,16 +51,17 @@
 	s.index()
 }
 
-// Expire adds a server whose entry in the list expired at the given time, unless an agent
+// Expire adds a server whose entry in the list expired at the time since, unless an agent
 // at its place is stored already, of a server that started later or after that entry has had
 // time to return. This balancer may never have read the entry.
-func (s *Selection) Expire(v catalog.Server, since time.Time) {
+func (s *Selection) Expire(v catalog.Server, since, now time.Time) {
 	at := s.placeOf(v)
 	if a := s.agents[at]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
 		return
 	}
 	s.setListed(at, v, since)
 	s.agents[at].UnlistedSince = since
+	s.agents[at].countsAsGone = now.Sub(since) > goneAfter
 	s.index()
 }
 
@@ -112,7 +113,7 @@
 			s.countChange(a)
 		}
 	}
-	a.Server, a.UnlistedSince = v, time.Time{}
+	a.Server, a.UnlistedSince, a.countsAsGone = v, time.Time{}, false
 	// An entry states the time that was left when it was written, so each is an upper bound. An
 	// entry without a start may be that of a restarted server.
 	if until := now.Add(v.Warmup); v.Born == 0 || until.Before(a.WarmUntil) {
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -44,6 +44,9 @@
 	// list to count as removed, with all its flows: after an outage of the platform,
 	// entries of live servers return within 2 s.
 	removedAfter = 2500 * time.Millisecond
+	// goneAfter is how long another balancer must have missed the entry of a server to count it as
+	// gone: the time that entries need to return, after an outage as short as a few seconds.
+	goneAfter = 5 * time.Second
 	// readGapMargin is how much longer than the greatest age of a list the interval between two
 	// readings may be; after a longer one the platform counts as having been unavailable.
 	readGapMargin = 500 * time.Millisecond
@@ -85,6 +88,9 @@
 	// UnlistedSince is when the server was first missing from the list; zero if it is listed.
 	UnlistedSince time.Time
 
+	// countsAsGone is true if the entry had been missing for longer than entries of live servers are
+	// when another balancer named the server. It is offered no new flow.
+	countsAsGone bool
 	// earlierListed is true while only a server with an earlier start is listed at the place.
 	earlierListed bool
 
@@ -270,7 +276,7 @@
 
 // recordAnswer records that an agent answers.
 func (s *Selection) recordAnswer(a *Agent, now time.Time) {
-	if a.suspect(now) || s.foreign(a) {
+	if a.suspect(now) || s.foreign(a) || a.unheard() {
 		a.RecoveredAt = now
 		s.countChange(a)
 	}
@@ -317,7 +323,7 @@
 // usable reports whether an agent may be offered new flows, unless its zone is evacuated. One whose
 // server is no longer listed may be, for the grace period of expired entries.
 func (s *Selection) usable(a *Agent) bool {
-	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving || a.serverStopped() || !s.reportsFor(a) {
+	if a.Server.State != catalog.Ready || a.Load.State == steer.Leaving || a.serverStopped() || a.countsAsGone || !s.reportsFor(a) {
 		return false
 	}
 	return s.unlistedFor(a) < s.bounds.ExpiryGrace()
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -29,7 +29,7 @@
 // TestSelection runs scripts of lists, reports and pauses, and prints what is selected.
 // "servers" reads a list, one "NUMBER [born=N] [zone=Z] [slots=N] [draining]
 // [warmup=DURATION] [service=S]" on a line; server N has the address 10.0.0.N. "expired" adds
-// such servers as expired now. With "unread" no list is read before a command.
+// such servers as expired now or, with age=DURATION, before. With "unread" no list is read before a command.
 // "changed" prints the agents that were not covered by the latest
 // "holders".
 func TestSelection(t *testing.T) {
@@ -53,8 +53,14 @@
 			case "evacuated":
 				return strconv.FormatBool(s.Evacuated("pass"))
 			case "expired":
+				age := "0s"
+				d.MaybeScanArgs(t, "age", &age)
+				missing, err := time.ParseDuration(age)
+				if err != nil {
+					t.Fatal(err)
+				}
 				for _, v := range readServers(t, d) {
-					s.Expire(v, now)
+					s.Expire(v, now.Add(-missing), now)
 				}
 				return ""
 			case "named":
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -62,12 +62,22 @@
 	return 2*r.silent > r.all
 }
 
-// silentMayHold reports whether an agent does not answer although its server may live and
-// hold flows.
+// silentMayHold reports whether an agent does not answer, or has not had the time to, although its
+// server may live and hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
+	if a.unheard() {
+		return !a.suspect(now)
+	}
 	return a.suspect(now) && !s.foreign(a) && !a.leftAfterServer() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
 
+// unheard reports whether the agent of a server that counts as gone has not answered yet. The server
+// may live and hold flows without reaching the platform, so the agent is pinged, and searched once it
+// answers.
+func (a *Agent) unheard() bool {
+	return a.countsAsGone && a.LastReportAt.IsZero() && a.RecoveredAt.IsZero()
+}
+
 // silentPastLimit reports whether an agent has not answered for so long that its server
 // counts as unreachable, too. Only time since the balancer was last cut off counts.
 func (s *Selection) silentPastLimit(a *Agent, now time.Time) bool {
