Probe a server that leaves a SYN unanswered, if its service limits cold servers

Cause: the agent, which alone limits the flows of a cold server, learnt of the restart from a ping up to 0.7 s later, from a bounced packet of an open flow, or from 300 ms of silence.

Now it probes the server, as at its own start, once that has left a SYN unanswered for 30 ms: a running one answers at once. If the connection is refused, the server that listens next is cold, and what was delivered before does not count for it. Only services with a limit are probed so; others pay nothing.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -44,6 +44,11 @@
 	return true
 }
 
+// Forget drops the packets that were counted before a time: no present server has received them.
+func (l *Limiter) Forget(before time.Time) {
+	l.taken = slices.Delete(l.taken, 0, search(l.taken, before))
+}
+
 // Count returns the number of packets in the Window.
 func (l *Limiter) Count(now time.Time) int {
 	l.prune(now)
--- a/internal/packetagent/cold_test.go
+++ b/internal/packetagent/cold_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,12 +21,14 @@
 // TestColdLimit runs scripts of pings and SYNs at one agent. "ping" states the start of the server,
 // seconds after that of the agent, its remaining warm-up and the rate that it accepts while cold.
 // "syns" prints what happened to some new flows: delivered, passed on, returned to the best
-// candidate, dropped or refused.
+// candidate, dropped or refused; the server answers them unless "unanswered" is given. "maintain"
+// does the periodic work, and prints whether the agent has probed the server, which accepts or
+// refuses.
 func TestColdLimit(t *testing.T) {
 	datadriven.Walk(t, "testdata/cold", func(t *testing.T, path string) {
 		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 		var a *Agent
-		flows := 0
+		flows, probed := 0, false
 		var outcomes map[string]int
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			outcomes = make(map[string]int)
@@ -35,6 +38,7 @@
 				a.config.Clock, a.completeness = clock, completeness.NewTable(clock.Now(), a.config.MaxFlow)
 				d.MaybeScanArgs(t, "overage", &a.config.WarmupOverage)
 				d.MaybeScanArgs(t, "slack", &a.config.WarmupSlack)
+				a.config.Probe = func() { probed = true }
 				a.transport.SendToServer = func([]byte) error { outcomes["delivered"]++; return nil }
 				a.transport.SendFleetDatagram = func(raw []byte, to netip.AddrPort) error {
 					outcomes[describeSent(raw, to)]++
@@ -62,11 +66,25 @@
 				for range count {
 					flows++
 					a.HandleFleetDatagram(syn(t, d, flows), balancer)
-					a.HandleServerPacket(standin.EncodePacket(packet.Packet{DestinationIP: [4]byte{100, 64, 0, 0}, DestinationPort: 1, Ack: true}))
+					if !d.HasArg("unanswered") {
+						a.HandleServerPacket(standin.EncodePacket(packet.Packet{DestinationIP: [4]byte{100, 64, 0, 0}, DestinationPort: 1, Ack: true}))
+					}
 				}
 				delete(outcomes, "report")
 				delete(outcomes, "toCaller")
 				return strings.TrimSuffix(strings.TrimPrefix(fmt.Sprint(outcomes), "map["), "]")
+			case "maintain":
+				probed = false
+				a.Maintain()
+				if !probed {
+					return "not probed"
+				}
+				var err error
+				if d.HasArg("refused") {
+					err = syscall.ECONNREFUSED
+				}
+				a.RecordProbe(clock.Now(), err)
+				return "probed"
 			case "bounceOpenFlow":
 				flows++
 				a.open(flows)
--- a/internal/packetagent/inbound.go
+++ b/internal/packetagent/inbound.go
@@ -359,6 +359,9 @@
 	if a.unansweredSince.IsZero() && (p.Syn || p.Fin || len(p.Data) > 0) {
 		a.unansweredSince = now
 	}
+	if p.Syn && a.synUnansweredSince.IsZero() {
+		a.synUnansweredSince = now
+	}
 	if err := a.transport.SendToServer(rest); err != nil {
 		a.counts.SendFailed.Add(1)
 	}
--- a/internal/packetagent/outbound.go
+++ b/internal/packetagent/outbound.go
@@ -43,7 +43,7 @@
 	if a.silent(now) {
 		a.recordRestart(a.unansweredSince, "answersAfterSilence", now)
 	}
-	a.unansweredSince = time.Time{}
+	a.unansweredSince, a.synUnansweredSince = time.Time{}, time.Time{}
 	a.logSilence(now)
 	if p.Bounced {
 		a.handleBounce(p, raw, now)
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -114,6 +114,9 @@
 	// unansweredSince is when the first packet after the server's latest one was delivered
 	// to it; zero if none was.
 	unansweredSince time.Time
+	// synUnansweredSince is when the first SYN after the server's latest packet was delivered to it;
+	// zero if none was.
+	synUnansweredSince time.Time
 	// probedAt is when a SYN was last delivered to the silent server although its agent would
 	// refuse the flow.
 	probedAt time.Time
--- a/internal/packetagent/presence.go
+++ b/internal/packetagent/presence.go
@@ -8,6 +8,10 @@
 	"github.com/bergamotgw/bergamotgw/internal/presence"
 )
 
+// synAnswerTimeout is how long a server that runs takes to answer a SYN at most: it takes less than a
+// millisecond, and may wait for the processor.
+const synAnswerTimeout = 30 * time.Millisecond
+
 // RecordProbe records the outcome of a connection attempt to the server that began at the given
 // time, on the agent's own VM. Only a refused one shows that no server listened: without an answer, one may.
 func (a *Agent) RecordProbe(began time.Time, err error) {
@@ -24,7 +28,7 @@
 		// A server that listens later holds no flow whose packets did not pass this agent.
 		a.completeness.RecordServerDown()
 		if !wasDown && !a.leaving {
-			a.recordRestart(a.completeness.Started(), "serverDown", now)
+			a.recordServerDown(began, now)
 		}
 	case err != nil:
 		outcome = string(presence.Unanswered)
@@ -40,6 +44,18 @@
 	a.checkPresence(now)
 }
 
+// recordServerDown records that the server which listens next has started since: since the process
+// started or, if a server has answered this process, since that one stopped to answer. What was
+// delivered before the probe has not reached it.
+func (a *Agent) recordServerDown(probeBegan, now time.Time) {
+	after := a.completeness.Started()
+	if a.synUnansweredSince.After(after) {
+		after = a.synUnansweredSince
+	}
+	a.recordRestart(after, "serverDown", now)
+	a.syns.Forget(probeBegan)
+}
+
 // recordServerPacket records that the server has sent a packet on a flow. What it bounces does not
 // count: a server that has left bounces all packets while it refuses connections.
 func (a *Agent) recordServerPacket(now time.Time) {
@@ -52,6 +68,10 @@
 // checkPresence probes the server if that is due, and tells the balancers and the log if the agent
 // begins or ceases to state that the listed server has stopped.
 func (a *Agent) checkPresence(now time.Time) {
+	// Only services with a limit need to know of a restart at once: others see it by the silence.
+	if a.noticed.coldFlowsPerSecond > 0 && !a.synUnansweredSince.IsZero() && now.Sub(a.synUnansweredSince) > synAnswerTimeout {
+		a.presence.RecordUnanswered(a.synUnansweredSince)
+	}
 	if a.config.Probe != nil && a.presence.ProbeDue(now) {
 		a.config.Probe()
 	}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -51,6 +51,10 @@
 	// was; zero before. It is never after refusedAt unless that is zero.
 	mayRunAt time.Time
 	evidence Evidence
+	// doubtedSince is when a server that is known to run began to leave packets unanswered, as
+	// RecordUnanswered stated last, and doubted is true until the probe for that is due.
+	doubtedSince time.Time
+	doubted      bool
 	// listed is the start of the server that balancers list, as a Unix time in milliseconds, and
 	// listedAt when a ping stated it first; zero before the first statement.
 	listed   int64
@@ -58,16 +62,24 @@
 }
 
 // ProbeDue reports whether a probe is due, and if so takes it as begun. None is while a server is
-// known to run: its packets show that from then on.
+// known to run: its packets show that from then on, until it leaves one unanswered.
 func (p *Presence) ProbeDue(now time.Time) bool {
-	known := p.refusedAt.IsZero() && !p.mayRunAt.IsZero()
+	known := p.refusedAt.IsZero() && !p.mayRunAt.IsZero() && !p.doubted
 	if known || now.Before(p.probeDueAt) {
 		return false
 	}
-	p.probeDueAt = now.Add(ProbeInterval)
+	p.probeDueAt, p.doubted = now.Add(ProbeInterval), false
 	return true
 }
 
+// RecordUnanswered records that the server has left a packet unanswered since a time which a running
+// server answers at once. One probe is due for each such time.
+func (p *Presence) RecordUnanswered(since time.Time) {
+	if since.After(p.doubtedSince) {
+		p.doubtedSince, p.doubted = since, true
+	}
+}
+
 // RecordRefused records that a probe was refused that began at the given time: no server listened
 // at some time since.
 func (p *Presence) RecordRefused(began time.Time) {
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -11,7 +11,8 @@
 // TestPresence guards against the statement that a server has stopped which runs, against one that
 // outlives its evidence, and against probes of a server that is known to run. Each command happens
 // at a time in milliseconds: "listed" passes the start of the server that balancers list, "refused"
-// the begin of a probe that was refused, "mayRun" evidence to the contrary. Each prints the server
+// the begin of a probe that was refused, "mayRun" evidence to the contrary, "unanswered" since when
+// the server has left a packet unanswered. Each prints the server
 // that has stopped, or why it may run, and whether a probe is due.
 func TestPresence(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -33,6 +34,10 @@
 			case "mayRun":
 				d.ScanArgs(t, "by", &evidence)
 				p.RecordMayRun(Evidence(evidence), now)
+			case "unanswered":
+				var since int64
+				d.ScanArgs(t, "since", &since)
+				p.RecordUnanswered(time.UnixMilli(since))
 			case "wait":
 			default:
 				d.Fatalf(t, "unknown command %q", d.Cmd)
