Let the emulator's operator repeat its writes until the platform accepts them

A backup of the platform had brought the requests to evacuate all zones back. The operator of the emulator removes them 2 s later, but dropped that write for good if the platform was down at that moment.

Now it repeats the write each 0.1 s, as it does with other writes. The check and its bound are unchanged.

--- a/internal/lab/packetlab/evacuate.go
+++ b/internal/lab/packetlab/evacuate.go
@@ -91,9 +91,14 @@
 	}
 }
 
-// rewriteRequests repeats the requests and removals that the platform has lost, in the given epoch.
+// rewriteRequests repeats the requests and removals that the platform has lost, in the given epoch,
+// as soon as it accepts them.
 func (l *Lab) rewriteRequests(epoch uint64) {
-	if l.platform.at.Epoch != epoch || l.platform.down {
+	if l.platform.at.Epoch != epoch {
+		return
+	}
+	if l.platform.down {
+		l.after(operatorRetry, func() { l.rewriteRequests(epoch) })
 		return
 	}
 	for zone := range l.requests {
