Record no outcome of a probe that the end of the agent interrupts

An agent that ends cancels a probe that is under way. Its error was taken for a probe without an answer, which ends the statement that the listed server has stopped, in the last report of the agent. Found by reading; such a probe takes less than a millisecond, and none was seen interrupted.

--- a/internal/packetcli/agent.go
+++ b/internal/packetcli/agent.go
@@ -122,6 +122,10 @@
 	if err == nil {
 		_ = c.Close()
 	}
+	if ctx.Err() != nil {
+		// An interrupted probe proves nothing, and must not end what the agent has stated.
+		return
+	}
 	a.dataPlane.RecordProbe(began, err)
 }
 
