--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -56,7 +56,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.logSilence(now)
-	a.checkPresence(now)
+	a.probeIfDue(now)
+	a.statePresence(now)
 	a.expireRequests(now)
 	a.reportChangedLoad(now)
 	if now.Sub(a.sweptAt) >= sweepInterval {
--- a/internal/packetagent/notice.go
+++ b/internal/packetagent/notice.go
@@ -49,7 +49,8 @@
 		k.born, k.coldFlowsPerSecond = n.Born, n.ColdFlowsPerSecond
 	}
 	a.presence.RecordListed(n.Born, now)
-	a.checkPresence(now)
+	a.probeIfDue(now)
+	a.statePresence(now)
 	return completed
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -44,8 +44,8 @@
 	// list to count as removed, with all its flows: after an outage of the platform,
 	// entries of live servers return within 2 s.
 	removedAfter = 2500 * time.Millisecond
-	// goneAfter is how long another balancer must have missed the entry of a server to count it as
-	// gone: the time that entries need to return, after an outage as short as a few seconds.
+	// goneAfter is how long the entry of a server must have been missing for another balancer that
+	// names the server, to count it as gone: entries that expired in an outage return sooner.
 	goneAfter = 5 * time.Second
 	// readGapMargin is how much longer than the greatest age of a list the interval between two
 	// readings may be; after a longer one the platform counts as having been unavailable.
@@ -88,8 +88,8 @@
 	// UnlistedSince is when the server was first missing from the list; zero if it is listed.
 	UnlistedSince time.Time
 
-	// countsAsGone is true if the entry had been missing for longer than entries of live servers are
-	// when another balancer named the server. It is offered no new flow.
+	// countsAsGone is true if another balancer has named the server, whose entry had been missing for
+	// longer than goneAfter. The server is offered no new flow.
 	countsAsGone bool
 	// earlierListed is true while only a server with an earlier start is listed at the place.
 	earlierListed bool
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -66,7 +66,7 @@
 // server may live and hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
 	if a.unheard() {
-		return !a.suspect(now)
+		return !a.suspect(now) && !s.foreign(a)
 	}
 	return a.suspect(now) && !s.foreign(a) && !a.leftAfterServer() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
