--- a/internal/packetcli/probe_test.go
+++ b/internal/packetcli/probe_test.go
@@ -34,7 +34,12 @@
 	ctx, leave := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
-	defer func() { leave(); <-done }()
+	defer func() {
+		leave()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
 	balancer, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(s.Relay))
 	if err != nil {
 		t.Fatal(err)
