Repeat a new statement that the listed server has stopped, or may run again

A statement no longer comes with the answer to the ping that names the server, but in a report of its own, some 0.5 ms later. A balancer that loses it may not ping the agent for seconds, as its first ping was answered; it then misses that the server has stopped, and keeps the doubt `unconfirmedList`.

The report is sent again twice, within the budget of reports.

--- a/internal/packetagent/maintain.go
+++ b/internal/packetagent/maintain.go
@@ -142,7 +142,7 @@
 }
 
 // reportChangedLoad sends a report to the subscribers if the number of requests or the
-// state has changed since the previous one.
+// state has changed since the previous one, or if what that stated of the server is to be repeated.
 func (a *Agent) reportChangedLoad(now time.Time) {
 	elapsed := now.Sub(a.reportedAt)
 	if elapsed < reportInterval {
@@ -150,9 +150,10 @@
 	}
 	l := a.load(now)
 	due := elapsed >= time.Duration(len(a.subscribers))*reportIntervalPerBalancer
-	if l.State == a.reportedLoad.State && (!due || l.Outstanding == a.reportedLoad.Outstanding) {
+	if l.State == a.reportedLoad.State && (!due || l.Outstanding == a.reportedLoad.Outstanding && a.repeats == 0) {
 		return
 	}
+	a.repeats = max(a.repeats-1, 0)
 	a.reportToSubscribers(l, now)
 }
 
--- a/internal/packetagent/packetagent.go
+++ b/internal/packetagent/packetagent.go
@@ -136,6 +136,9 @@
 	// that was stated as stopped at the latest check, otherwise 0.
 	presence      presence.Presence
 	statedStopped int64
+	// repeats is how often a change of statedStopped is still to be reported again: a balancer that has
+	// lost the report may not ping the agent for seconds.
+	repeats int
 	// probeLogged is the latest outcome of a probe that was logged.
 	probeLogged string
 	// syns counts the opening packets that were delivered to the server, and restart is the
--- a/internal/packetagent/presence.go
+++ b/internal/packetagent/presence.go
@@ -14,6 +14,10 @@
 // millisecond, and what it waits for the processor.
 const synAnswerTimeout = 30 * time.Millisecond
 
+// statementRepeats is how often an agent repeats to the balancers that the listed server has stopped, or
+// may run again. Links lose few datagrams.
+const statementRepeats = 2
+
 // RecordProbe records the outcome of a connection attempt to the server that began at the given
 // time. Only a refused one shows that no server listened: without an answer, one may.
 func (a *Agent) RecordProbe(began time.Time, err error) {
@@ -90,7 +94,7 @@
 		a.config.Log.Info("serverMayRun").Time("started", time.UnixMilli(a.statedStopped)).
 			Str("reason", string(a.presence.Evidence(now))).Send()
 	}
-	a.statedStopped = born
+	a.statedStopped, a.repeats = born, statementRepeats
 	a.reportToSubscribers(a.load(now), now)
 }
 
--- a/internal/packetagent/reports_test.go
+++ b/internal/packetagent/reports_test.go
@@ -149,3 +149,28 @@
 		}
 	}
 }
+
+// TestStatementIsRepeated guards against a balancer that misses for seconds that a server has stopped,
+// because one report was lost: callers of flows that died with the server would wait for that.
+func TestStatementIsRepeated(t *testing.T) {
+	a, clock, refuse, notice, _ := probed(t)
+	stated := 0
+	a.transport.SendFleetDatagram = func(raw []byte, _ netip.AddrPort) error {
+		if l, _, ok := steer.ParseReport(raw); ok && l.StoppedServer != 0 {
+			stated++
+		}
+		return nil
+	}
+	var ping [steer.PingLen]byte
+	steer.PutPing(ping[:], steer.Notice{})
+	a.HandleFleetDatagram(ping[:], balancer)
+	notice(clock.Now().Add(-time.Minute))
+	for range 20 {
+		refuse()
+		clock.Advance(MaintainInterval)
+		a.Maintain()
+	}
+	if stated != 3 {
+		t.Errorf("%d reports name the stopped server, want 3", stated)
+	}
+}
