Count a stated server as gone once it is not listed either

Cause: the statement of an agent that no longer answers counted only if the agent had been leaving. VMs of servers that had been told to leave are also taken away without notice; until they counted as silent, each query waited 0.3 s for them.

Now the statement also counts if the server is no longer listed: one that listens after the statement registers. What guards against, a listed server behind a partition, stays as it is.

--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -32,7 +32,7 @@
 	h := Holders{ListVersion: s.listVersion, Changes: s.changes}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
-			if c.agent.unheard() || c.agent.leftAfterServer() || c.agent.deniedBy(denied) {
+			if c.agent.unheard() || c.agent.stoppedForGood() || c.agent.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(c.agent, now)
@@ -48,7 +48,7 @@
 			continue
 		}
 		for _, a := range agents {
-			if s.foreign(a) || a.unheard() || a.leftAfterServer() || a.deniedBy(denied) {
+			if s.foreign(a) || a.unheard() || a.stoppedForGood() || a.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(a, now)
@@ -61,10 +61,10 @@
 	return h
 }
 
-// WithoutStopped returns those of the agents that have not left after their servers.
+// WithoutStopped returns those of the agents whose servers have not stopped for good.
 func (s *Selection) WithoutStopped(agents []netip.AddrPort) []netip.AddrPort {
 	return lo.Reject(agents, func(at netip.AddrPort, _ int) bool {
-		return len(s.byAddress[at]) > 0 && lo.EveryBy(s.byAddress[at], (*Agent).leftAfterServer)
+		return len(s.byAddress[at]) > 0 && lo.EveryBy(s.byAddress[at], (*Agent).stoppedForGood)
 	})
 }
 
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -68,7 +68,7 @@
 	if a.unheard() {
 		return !a.suspect(now) && !s.foreign(a)
 	}
-	return a.suspect(now) && !s.foreign(a) && !a.leftAfterServer() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
+	return a.suspect(now) && !s.foreign(a) && !a.stoppedForGood() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
 }
 
 // unheard reports whether the agent of a server that counts as gone has not answered yet. The server
@@ -91,11 +91,11 @@
 	return a.Load.StoppedServer != 0 && a.Load.StoppedServer == uint32(a.Server.Born)
 }
 
-// leftAfterServer reports whether the agent has stated, while it was leaving, that the listed server
-// has stopped. No packet reaches a server there before another agent answers. The statement of an
-// agent that runs holds only as long as it answers: the server may have been about to listen.
-func (a *Agent) leftAfterServer() bool {
-	return a.serverStopped() && a.Load.State == steer.Leaving
+// stoppedForGood reports whether the listed server has stopped by the statement of its agent, and holds
+// no flow even if the agent no longer answers. A server that starts to listen after the statement
+// gets no packet if the agent was leaving, before another one answers; otherwise it is listed.
+func (a *Agent) stoppedForGood() bool {
+	return a.serverStopped() && (a.Load.State == steer.Leaving || !a.UnlistedSince.IsZero())
 }
 
 // NotifyStopped calls changed for each agent that states since the previous call that its listed
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -22,7 +22,7 @@
 	for _, service := range services {
 		first := len(s.scored)
 		for _, a := range s.byService[service] {
-			if !a.unheard() && !a.leftAfterServer() && (previous.IsZero() || a.missedSearch(previous, now)) {
+			if !a.unheard() && !a.stoppedForGood() && (previous.IsZero() || a.missedSearch(previous, now)) {
 				s.scored = append(s.scored, scored{a, s.ranker.Rank(hash, a.hash)})
 				s.recordSearch(a, now)
 			}
