Simplify conditions about agents and complete lists

Which agents no search asks was written out in three places, and is one function now. corroboratedLocked includes `confirmed`, so they need not be combined, and the emulator's twin neither. AllRecentlyStarted repeated what its filter had decided. The comment of `confirmed` says that a list which was complete at a reading counts, too.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -129,7 +129,7 @@
 	// expired holds the servers whose entries have recently expired, by ID.
 	expired map[string]Expired
 	// confirmed is true once a balancer with a complete list of the servers that may run
-	// has sent its expired entries; peerCorroborated is true once the digest of one has
+	// has sent its expired entries, or the list was complete at a reading; peerCorroborated is true once the digest of one has
 	// been received.
 	confirmed, peerCorroborated bool
 	// seedsTried is true once every balancer named in the settings has answered or
@@ -351,7 +351,7 @@
 	overdue := !d.readAt.IsZero() && at.Sub(d.readAt) > d.pace(readInterval+rankStep)
 	// What was listed before a gap is remembered, so a list that was complete stays so. Before, entries
 	// may have expired in the gap that this directory has never read.
-	d.confirmed = d.confirmed || d.corroboratedLocked()
+	d.confirmed = d.corroboratedLocked()
 	if overdue && !d.confirmed {
 		d.readableSince = at
 	}
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -250,7 +250,7 @@
 // unreachable, it only records that.
 func (b *balancerVM) read() {
 	p := &b.lab.platform
-	b.confirmed = b.confirmed || b.corroborated()
+	b.confirmed = b.corroborated()
 	if p.down || b.cut {
 		if !b.confirmed {
 			b.readableSince = time.Time{}
--- a/internal/selection/holders.go
+++ b/internal/selection/holders.go
@@ -32,7 +32,7 @@
 	h := Holders{ListVersion: s.listVersion, Changes: s.changes}
 	for _, service := range services {
 		for _, c := range s.ordered(service, hash) {
-			if c.agent.unheard() || c.agent.stoppedForGood() || c.agent.deniedBy(denied) {
+			if c.agent.notSearched() || c.agent.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(c.agent, now)
@@ -48,7 +48,7 @@
 			continue
 		}
 		for _, a := range agents {
-			if s.foreign(a) || a.unheard() || a.stoppedForGood() || a.deniedBy(denied) {
+			if s.foreign(a) || a.notSearched() || a.deniedBy(denied) {
 				continue
 			}
 			s.recordSearch(a, now)
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -98,6 +98,12 @@
 	return a.serverStopped() && (a.Load.State == steer.Leaving || !a.UnlistedSince.IsZero())
 }
 
+// notSearched reports whether no search asks the agent: it has not answered yet, or its server has
+// stopped for good.
+func (a *Agent) notSearched() bool {
+	return a.unheard() || a.stoppedForGood()
+}
+
 // NotifyStopped calls changed for each agent that states since the previous call that its listed
 // server has stopped, or no longer does.
 func (s *Selection) NotifyStopped(changed func(a Agent, stopped bool)) {
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -22,7 +22,7 @@
 	for _, service := range services {
 		first := len(s.scored)
 		for _, a := range s.byService[service] {
-			if !a.unheard() && !a.stoppedForGood() && (previous.IsZero() || a.missedSearch(previous, now)) {
+			if !a.notSearched() && (previous.IsZero() || a.missedSearch(previous, now)) {
 				s.scored = append(s.scored, scored{a, s.ranker.Rank(hash, a.hash)})
 				s.recordSearch(a, now)
 			}
@@ -127,7 +127,7 @@
 // entries may have expired while the platform was unavailable.
 func (s *Selection) AllRecentlyStarted() bool {
 	listed := lo.Filter(lo.Values(s.agents), func(a *Agent, _ int) bool { return a.UnlistedSince.IsZero() && !s.foreign(a) })
-	return len(listed) > 0 && lo.EveryBy(listed, func(a *Agent) bool { return a.recentlyStarted || !s.mayRun(a) })
+	return len(listed) > 0 && lo.EveryBy(listed, func(a *Agent) bool { return a.recentlyStarted || a.serverStopped() })
 }
 
 // AllStartedTogether reports whether every listed server has started together with this balancer,
