Exchange the former services of routes, and notice skipped versions

Cause: the record of the routes counted as complete as soon as its first entry was older than a flow may last, whether or not versions had been skipped. Agents of the service that it had never read of were not asked, and the denials of all others counted as a proof.

Done: fetches return the former services, digests name the version before the present one, and a record is complete again only when the services of a skipped version are known or no flow of it can be open.

--- a/internal/directory/demand.go
+++ b/internal/directory/demand.go
@@ -173,6 +173,7 @@
 func (d *Directory) recordExact(at time.Time) {
 	if at.After(d.exactAt) {
 		d.exactAt = at
+		d.routes.Confirm(at)
 	}
 	d.advanceReading(at)
 	d.recordPassed()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
+	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -83,6 +84,9 @@
 	started time.Time
 	// catalog is never nil; it is replaced, never modified.
 	catalog atomic.Pointer[catalog.Catalog]
+	// routes holds the services that the routes have led to at this or another directory. A version
+	// is recorded there before it is in force.
+	routes *routehistory.History
 
 	// changes serializes the calls of Changed, so that the last one passes the newest catalog.
 	changes sync.Mutex
@@ -163,6 +167,9 @@
 	// Fetches counts catalogs that other directories returned; Deltas counts the lists
 	// of routes or servers in them that held only the differences and were applied.
 	Fetches, Deltas atomic.Uint64
+	// SkippedRoutes counts versions of the routes that another balancer has named and this one had
+	// never read.
+	SkippedRoutes atomic.Uint64
 	// Ignored counts entries that describe no usable server, once for each content.
 	Ignored atomic.Uint64
 	// Refused counts lists of servers that were older than the list in force.
@@ -183,6 +190,7 @@
 		ignored:  newIgnored(),
 		expired:  make(map[string]Expired),
 		demand:   newDemand(),
+		routes:   routehistory.NewHistory(c.MaxFlow, c.Bounds.MaxReadingAge()+readingDuration),
 	}
 	d.fetchedAt = d.started
 	d.catalog.Store(catalog.NewCatalog())
@@ -205,6 +213,17 @@
 	return d.catalog.Load()
 }
 
+// RouteHistory returns the services that the routes have led to.
+func (d *Directory) RouteHistory() *routehistory.History {
+	return d.routes
+}
+
+// RoutesKnownFor returns for how long every service is known that a route has led to, at most the time
+// for which a flow may last; 0 while another directory has named a version whose services are unknown.
+func (d *Directory) RoutesKnownFor() time.Duration {
+	return d.routes.KnownFor(d.config.Clock.Now())
+}
+
 // Counts returns the live counters.
 func (d *Directory) Counts() *Counts {
 	return &d.counts
@@ -232,6 +251,11 @@
 
 // applyRoutes replaces the routes in force if r is newer. from names the source in the log.
 func (d *Directory) applyRoutes(r catalog.Routes, from string) {
+	d.applyRoutesWith(r, routehistory.Snapshot{}, from)
+}
+
+// applyRoutesWith does the same for routes that another directory has returned with its history.
+func (d *Directory) applyRoutesWith(r catalog.Routes, h routehistory.Snapshot, from string) {
 	d.mu.Lock()
 	before := d.catalog.Load()
 	next := before.WithRoutes(r)
@@ -239,11 +263,13 @@
 		d.mu.Unlock()
 		return
 	}
+	d.routes.RecordFrom(next.Routes, h, d.config.Clock.Now())
 	d.catalog.Store(next)
 	d.history.addRoutes(next.Routes)
 	d.mu.Unlock()
 	d.config.Log.Info("routesChanged").Uint64("version", r.Version).
-		Uint64("former", before.Routes.Version).Int("routes", len(r.List)).Str("source", from).Send()
+		Uint64("former", before.Routes.Version).Int("routes", len(r.List)).Str("source", from).
+		Str("historyDoubt", string(d.routes.Doubt(d.config.Clock.Now()))).Send()
 	d.changed()
 }
 
@@ -390,6 +416,7 @@
 	c := d.catalog.Load()
 	return steer.Freshness{
 		RoutesVersion: c.Routes.Version,
+		FormerVersion: d.routes.FormerVersion(d.config.Clock.Now()),
 		Position:      c.Servers.Position,
 		EvacuationsAt: c.Servers.Evacuations.Position,
 		Age:           d.config.Clock.Since(d.readAt),
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/position"
+	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 )
@@ -60,6 +61,8 @@
 	// Routes and RoutesDelta are absent if the caller has the same or newer routes.
 	Routes      *catalog.Routes      `json:"routes,omitempty"`
 	RoutesDelta *catalog.RoutesDelta `json:"routesDelta,omitempty"`
+	// RouteHistory holds the services that the routes have led to; older programs omit it.
+	RouteHistory routehistory.Snapshot `json:"routeHistory,omitzero"`
 	// Servers and ServersDelta are absent if the caller has the same or newer servers.
 	Servers      *catalog.Servers      `json:"servers,omitempty"`
 	ServersDelta *catalog.ServersDelta `json:"serversDelta,omitempty"`
@@ -160,13 +163,29 @@
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
 		}
 	}
-	newer := f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt) || d.lacksEvacuations(f)
+	newer := d.skippedRoutes(f, from) || f.RoutesVersion > c.Routes.Version || d.lacksServers(f, readAt) || d.lacksEvacuations(f)
 	d.peerCorroborated = d.peerCorroborated || f.Corroborated
 	if (newer || f.Corroborated && !d.corroboratedLocked()) && d.mayFetch(now) {
 		d.startFetch(ctx, from, d.config.PeerPort)
 	}
 }
 
+// skippedRoutes reports whether the sender of a digest has had a version of the routes in force whose
+// services this directory does not know.
+func (d *Directory) skippedRoutes(f steer.Freshness, from netip.AddrPort) bool {
+	now := d.config.Clock.Now()
+	skipped := false
+	for _, version := range []uint64{f.FormerVersion, f.RoutesVersion} {
+		unknown, first := d.routes.Name(version, now)
+		if first {
+			d.counts.SkippedRoutes.Add(1)
+			d.config.Log.Info("routesSkipped").Uint64("version", version).Stringer("source", from).Send()
+		}
+		skipped = skipped || unknown
+	}
+	return skipped
+}
+
 // confirms reports whether the reading that a digest states confirms the catalog in force: it
 // showed the same servers at the same or a later position, and its sender has no newer routes. A
 // balancer that cannot fetch those must not rely on the sender's readings, nor on those of a program
@@ -272,8 +291,9 @@
 		}
 	}
 	if r.Routes != nil {
-		d.applyRoutes(*r.Routes, from)
+		d.applyRoutesWith(*r.Routes, r.RouteHistory, from)
 	}
+	d.routes.Merge(r.RouteHistory, d.config.Clock.Now())
 	d.takeEvacuations(&r, d.config.Clock.Since(requestedAt), from)
 	if r.Servers != nil {
 		list, faults := usable(r.Servers.List)
@@ -326,6 +346,7 @@
 			r.Expired = append(r.Expired, expiredEntry{l.Server, missing.Milliseconds()})
 		}
 	}
+	r.RouteHistory = d.routes.Snapshot(now)
 	if c.Routes.Version > p.RoutesVersion {
 		d.history.routesSince(p.RoutesVersion, c.Routes, &r)
 	}
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -28,6 +28,8 @@
 	// steppedRanks is how many balancers after the first read one by one. The others follow
 	// until the list has the greatest age that the change bound allows.
 	steppedRanks = 2
+	// readingDuration is how long a reading may take whose calls are all answered in time.
+	readingDuration = 500 * time.Millisecond
 	// retryInterval is the pause after a failed read, and after a failed accept.
 	retryInterval = 500 * time.Millisecond
 	// memberTimeout is how long a silent balancer keeps its rank in the order of
--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -33,9 +33,16 @@
 		})
 	}
 	l.platform.newest = routes
+	l.platform.versions = append(l.platform.versions, writtenVersion{routes, l.clock.Now()})
 	l.publish(routes)
 }
 
+// writtenVersion is a version of the routes with the time at which the operator wrote it.
+type writtenVersion struct {
+	routes catalog.Routes
+	at     time.Time
+}
+
 // publish writes routes to the platform.
 func (l *Lab) publish(routes catalog.Routes) {
 	l.platform.at.Revision++
--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -109,6 +109,12 @@
 	cut bool
 	// isolated is true while the VM exchanges datagrams only with callers and the platform.
 	isolated bool
+	// pausedSince and pausedUntil are when the process on the VM began to stand still, and when it
+	// continues; zero while it runs.
+	pausedSince, pausedUntil time.Time
+	// waiting holds the handling of the datagrams that wait in the sockets of a process that stands
+	// still, in the order of their arrival.
+	waiting []func()
 	// epoch grows with every start and stop of the process, so that scheduled events of
 	// former processes are ignored.
 	epoch int
@@ -188,8 +194,10 @@
 	if !v.up || v.epoch != epoch {
 		return
 	}
-	run()
-	l.after(interval, func() { l.repeat(v, epoch, interval, run) })
+	v.handle(func() {
+		run()
+		l.after(interval, func() { l.repeat(v, epoch, interval, run) })
+	})
 }
 
 // At schedules a function to run at the given time since the start.
@@ -258,7 +266,11 @@
 	}
 	l.after(l.delay(source, target), func() {
 		if receive := l.receivers[to]; receive != nil && reachable(source, target) && target.up {
-			receive(copied, from)
+			if to.Port() == appPort {
+				receive(copied, from)
+				return
+			}
+			target.handle(func() { receive(copied, from) })
 		}
 	})
 }
--- a/internal/lab/packetlab/packetlab_test.go
+++ b/internal/lab/packetlab/packetlab_test.go
@@ -231,6 +231,10 @@
 			l.MakeOlder(index)
 		case "cutBalancer":
 			l.CutBalancer(index, length)
+		case "pauseBalancer":
+			l.PauseBalancer(index, length)
+		case "pauseAgent":
+			l.PauseAgent(index, length)
 		case "isolateBalancer":
 			l.IsolateBalancer(index, length)
 		case "addBalancer":
--- a/internal/lab/packetlab/server.go
+++ b/internal/lab/packetlab/server.go
@@ -159,6 +159,7 @@
 // stopAgent stops the agent; the server keeps running.
 func (s *serverVM) stopAgent() {
 	s.epoch++
+	s.endPause()
 	if s.lab.real != nil {
 		s.lab.real.kill(s.vm)
 	}
--- a/internal/packetbalancer/bench_test.go
+++ b/internal/packetbalancer/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/position"
+	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
@@ -59,7 +60,8 @@
 		Front: netip.AddrPortFrom(loopback, 1), Back: netip.AddrPortFrom(loopback, 2), Zone: "a",
 		AgentPort: agent.Port(), MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true }, NoCorroboratedPeer: func() bool { return false }, ReadAt: time.Now,
-		ReadSince: func() time.Time { return time.Time{} }, RequestReading: func() {},
+		RouteHistory: routehistory.NewHistory(time.Minute, time.Minute),
+		ReadSince:    func() time.Time { return time.Time{} }, RequestReading: func() {},
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}, Transport{SendFleetDatagram: writeTo(front), SendToCaller: writeTo(front)})
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -27,14 +27,14 @@
 // scope returns the scope of a route, its services first in the order for a flow with the given
 // hash. all is the result of allServices. The caller holds the lock.
 func (b *Balancer) scope(route *catalog.Route, hash uint64, all bool, now time.Time) scope {
-	return scope{lo.Uniq(append(route.Services(hash), b.routes.Former(route.Address, now)...)), all}
+	return scope{lo.Uniq(append(route.Services(hash), b.config.RouteHistory.Former(route.Address, now)...)), all}
 }
 
 // allServices reports whether it is unknown which services the routes have led to for as long as
 // a flow may last. After a common start the servers are too young to hold flows of unknown routes.
 // The caller holds the lock.
 func (b *Balancer) allServices(now time.Time) bool {
-	return !b.routes.Complete(now) && !b.selection.AllStartedTogether()
+	return !b.config.RouteHistory.Complete(now) && !b.selection.AllStartedTogether()
 }
 
 // review holds what is the same for all flows that are judged at one time.
--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotgw/bergamotgw/internal/flowplacement"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/position"
+	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/steer"
 	"github.com/bergamotgw/bergamotgw/platform"
 	"github.com/bergamotgw/bergamotgw/platform/standin"
@@ -42,7 +43,8 @@
 		MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true },
 		NoCorroboratedPeer: func() bool { return false }, ReadAt: clock.Now,
-		ReadSince: func() time.Time { return time.Time{} }, RequestReading: func() {},
+		RouteHistory: routehistory.NewHistory(time.Minute, time.Minute),
+		ReadSince:    func() time.Time { return time.Time{} }, RequestReading: func() {},
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}, Transport{
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -62,6 +62,8 @@
 	Placement *flowplacement.Policy
 	// Codec decodes packets and encodes resets.
 	Codec packet.Codec
+	// RouteHistory holds the services that routes have led to.
+	RouteHistory *routehistory.History
 	// Catalog returns the newest catalog.
 	Catalog func() *catalog.Catalog
 	// Corroborated reports whether the servers in the catalog, and those passed to Expire, are
@@ -115,8 +117,8 @@
 	mu        sync.Mutex
 	selection *selection.Selection
 	queries   queries
-	// routes holds the services that routes have led to.
-	routes *routehistory.History
+	// namedVersion is the version of the routes whose services the selection has been told.
+	namedVersion uint64
 	// cutOffSince is when most agents stopped answering; zero if they answer.
 	cutOffSince time.Time
 }
@@ -174,7 +176,6 @@
 		started:   c.Clock.Now(),
 		cache:     recent.NewMap[packet.Flow, cacheEntry](c.Clock, c.MaxFlow/2, cacheLimit),
 		selection: selection.NewSelection(c.Zone, c.AgentPort, c.MaxFlow, c.Bounds, c.Clock.Now()),
-		routes:    routehistory.NewHistory(c.MaxFlow),
 		buf:       make([]byte, steer.MaxLen+maxDatagramBytes),
 		queries:   queries{byFlow: make(map[packet.Flow]*searchedFlow), open: make(map[uint32]*flowQuery)},
 	}
@@ -204,12 +205,13 @@
 	wg.Wait()
 }
 
-// SetRoutes records the services that routes lead to.
+// SetRoutes applies new routes to the selection of agents.
 func (b *Balancer) SetRoutes(r catalog.Routes) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.selection.SetColdRates(r.ColdFlowsPerSecond)
-	if b.routes.Record(r, b.config.Clock.Now()) {
+	if r.Version != b.namedVersion {
+		b.namedVersion = r.Version
 		b.selection.NameServices(r.ServiceNames())
 	}
 }
--- a/internal/packetcli/balancer.go
+++ b/internal/packetcli/balancer.go
@@ -92,6 +92,7 @@
 		Placement:          placement,
 		Codec:              platform.PacketCodec(),
 		Catalog:            b.directory.Catalog,
+		RouteHistory:       b.directory.RouteHistory(),
 		Corroborated:       b.directory.Corroborated,
 		NoCorroboratedPeer: b.directory.NoCorroboratedPeer,
 		ReadAt:             b.directory.ReadAt,
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -75,6 +75,9 @@
 		return age.Seconds()
 	})
 	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
+	m.gauge("routes_known_seconds", "For how long every service is known that a route has led to, at most the time for which a flow may last.",
+		func() float64 { return d.RoutesKnownFor().Seconds() })
+	m.counter("routes_skipped_total", "Versions of the routes that another balancer has named and this one had never read.", r.SkippedRoutes.Load)
 	m.gauge("servers_revision", "Revision of the platform's store at which the servers in force were read.", func() float64 { return float64(d.Catalog().Servers.Revision) })
 	m.gauge("servers_epoch", "Number of times that the platform's store had returned from a backup by that reading.", func() float64 { return float64(d.Catalog().Servers.Epoch) })
 	m.gauge("evacuated_zones", "Availability zones in the newest known set of evacuated ones.", func() float64 { return float64(len(d.Catalog().Servers.Evacuations.Zones)) })
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -16,6 +16,9 @@
 type Freshness struct {
 	// RoutesVersion is the version of the routes; 0 if the sender has none.
 	RoutesVersion uint64
+	// FormerVersion is the latest version of the routes before it by which flows may have been placed
+	// that are still open; 0 if there is none.
+	FormerVersion uint64
 	// Position is the state of the platform at which the servers were read; zero if they
 	// never were.
 	position.Position
@@ -54,10 +57,13 @@
 	// epochLen is the length of the epoch, which follows the other balancers: programs that
 	// do not know epochs ignore what follows them.
 	epochLen = 8
-	// evacuationsLen is the length of EvacuationsAt, which follows the epoch if it is not zero.
+	// evacuationsLen is the length of EvacuationsAt, which follows the epoch if it or FormerVersion is
+	// not zero.
 	evacuationsLen = 8 + 8
+	// formerVersionLen is the length of FormerVersion, which follows EvacuationsAt if it is not zero.
+	formerVersionLen = 8
 	// DigestMaxLen is the length of the longest digest, in bytes.
-	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen + evacuationsLen
+	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen + evacuationsLen + formerVersionLen
 )
 
 // PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
@@ -77,12 +83,17 @@
 	n := digestFixedLen + len(members)*addrLen
 	binary.BigEndian.PutUint64(b[n:], f.Epoch)
 	n += epochLen
-	if f.EvacuationsAt == (position.Position{}) {
+	if f.EvacuationsAt == (position.Position{}) && f.FormerVersion == 0 {
 		return n
 	}
 	binary.BigEndian.PutUint64(b[n:], f.EvacuationsAt.Epoch)
 	binary.BigEndian.PutUint64(b[n+8:], f.EvacuationsAt.Revision)
-	return n + evacuationsLen
+	n += evacuationsLen
+	if f.FormerVersion == 0 {
+		return n
+	}
+	binary.BigEndian.PutUint64(b[n:], f.FormerVersion)
+	return n + formerVersionLen
 }
 
 // ParseDigest decodes a digest: the sender's state, and the other balancers that it names.
@@ -110,8 +121,13 @@
 		evacuationsAt.Epoch = binary.BigEndian.Uint64(rest[epochLen:])
 		evacuationsAt.Revision = binary.BigEndian.Uint64(rest[epochLen+8:])
 	}
+	var formerVersion uint64
+	if len(rest) >= epochLen+evacuationsLen+formerVersionLen {
+		formerVersion = binary.BigEndian.Uint64(rest[epochLen+evacuationsLen:])
+	}
 	return Freshness{
 		RoutesVersion: binary.BigEndian.Uint64(b[2:]),
+		FormerVersion: formerVersion,
 		Position:      at,
 		StatesEpoch:   len(rest) >= epochLen,
 		EvacuationsAt: evacuationsAt,
