Prove the age of a reading by the own clock, whatever time digests wait

Cause: a receiver took the age that a digest states as of the moment at which it handled the digest. Digests that had waited in the socket of a balancer that stood still made old readings seem new, and its own digests passed that on. The limit of two thirds of the change bound rested on the same age.

Done: digests are numbered and return the latest number of their receiver, so that a digest was sent after the round whose number it returns (internal/echo). What it states counts from that round. Stated ages only order the readers; without a proof a balancer reads the platform itself. In large fleets it asks two others for a proof first. That a list was read for 3 s without a gap rests on proofs, too.

--- a/internal/directory/corroboration_test.go
+++ b/internal/directory/corroboration_test.go
@@ -21,6 +21,7 @@
 	read := func(after time.Duration) {
 		clock.Advance(after)
 		d.applyServers(catalog.NewServers(position.Position{Epoch: 1, Revision: 7}, nil), 0, "platform")
+		d.recordProvedNow()
 	}
 	expect := func(when string, want bool) {
 		t.Helper()
--- a/internal/directory/demand.go
+++ b/internal/directory/demand.go
@@ -158,7 +158,7 @@
 	sentAt, ok := d.demand.requester.Answered(r.Number)
 	same := ok && d.shows(steer.Freshness{RoutesVersion: r.RoutesVersion, Position: r.Position, Sum: r.Sum})
 	if same {
-		d.recordExact(sentAt)
+		d.recordProved(sentAt)
 	} else if ok {
 		d.startFetch(ctx, from, d.config.PeerPort)
 	}
@@ -168,13 +168,18 @@
 	}
 }
 
-// recordExact records that the catalog in force was read after a time of this balancer's own clock.
+// recordProved records that the catalog in force was read after a time of this balancer's own clock.
 // The caller holds the lock.
-func (d *Directory) recordExact(at time.Time) {
-	if at.After(d.exactAt) {
-		d.exactAt = at
-		d.routes.Confirm(at)
+func (d *Directory) recordProved(at time.Time) {
+	if !at.After(d.provedAt) {
+		return
+	}
+	gap := at.Sub(d.provedAt) > d.pace(readInterval+rankStep+proofDelay)
+	if gap && !d.provedAt.IsZero() && !d.corroboratedLocked() {
+		d.readableSince = at
 	}
+	d.provedAt, d.limitLogged = at, false
+	d.routes.Confirm(at)
 	d.advanceReading(at)
 	d.recordPassed()
 }
@@ -184,5 +189,5 @@
 func (d *Directory) ReadSince() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.passedExactAt
+	return d.passedProvedAt
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/bergamotgw/bergamotgw/internal/bounds"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
+	"github.com/bergamotgw/bergamotgw/internal/echo"
 	"github.com/bergamotgw/bergamotgw/internal/eventlog"
 	"github.com/bergamotgw/bergamotgw/internal/routehistory"
 	"github.com/bergamotgw/bergamotgw/internal/rpc"
@@ -93,8 +95,9 @@
 
 	mu sync.Mutex
 	// firstReadAt and readAt are the times at which the first catalog and the one in
-	// force were read from the platform, by this balancer or another one. They are not zero if
-	// the catalog has servers, and never later than now.
+	// force were read from the platform, by this balancer or another one, as far as is known: what
+	// another one has stated may have waited. They are not zero if the catalog has servers, and never
+	// later than now. Nothing rests on them but the order of readers and the first use of a list.
 	firstReadAt, readAt time.Time
 	// readableSince is when the first catalog was read or, if the platform could not be read for a
 	// while before this directory was corroborated, the first one after that.
@@ -107,9 +110,15 @@
 	// latest time at which they were read.
 	passedSum uint64
 	passedAt  time.Time
-	// exactAt is the latest time of this balancer's own clock after which the catalog in force was
-	// read for certain, and passedExactAt that of the servers that were last passed to Changed.
-	exactAt, passedExactAt time.Time
+	// provedAt is the latest time of this balancer's own clock after which the catalog in force was
+	// read for certain, routes and servers, and passedProvedAt that of the servers that were last passed
+	// to Changed. They are never later than readAt and passedAt.
+	provedAt, passedProvedAt time.Time
+	// rounds numbers the digests of this directory, so that those of others show when they were sent.
+	rounds *echo.Rounds
+	// limitLogged is true from a reading that was due although digests stated younger ones to the next
+	// proof.
+	limitLogged bool
 	// demand is the state of readings out of turn.
 	demand demand
 	// history holds former catalogs that other directories may still have.
@@ -147,6 +156,10 @@
 type member struct {
 	// lastReceived is when its latest digest arrived.
 	lastReceived time.Time
+	// number is that of its latest digest, and provedAt the time after which it had read the catalog for
+	// certain, as far as that digest shows; zero if it stated none.
+	number   uint16
+	provedAt time.Time
 	// epoch is that of the list of servers that it had then.
 	epoch uint64
 	// leaving is true if it was about to stop then. It forwards packets until it stops, so it
@@ -174,6 +187,9 @@
 	Ignored atomic.Uint64
 	// Refused counts lists of servers that were older than the list in force.
 	Refused atomic.Uint64
+	// Unproved counts readings that were due because no digest proved a young one, although digests
+	// stated one.
+	Unproved atomic.Uint64
 	// ReadingsRequested counts requests of this balancer for a reading out of turn, and
 	// ReadingsOnDemand the readings that it made at such requests.
 	ReadingsRequested, ReadingsOnDemand atomic.Uint64
@@ -190,6 +206,7 @@
 		ignored:  newIgnored(),
 		expired:  make(map[string]Expired),
 		demand:   newDemand(),
+		rounds:   echo.NewRounds(uint16(rand.Uint32())),
 		routes:   routehistory.NewHistory(c.MaxFlow, c.Bounds.MaxReadingAge()+readingDuration),
 	}
 	d.fetchedAt = d.started
@@ -237,6 +254,14 @@
 	return d.config.Clock.Since(d.readAt), !d.readAt.IsZero()
 }
 
+// ProvedAge returns the time after which the catalog was read from the platform for certain, by this
+// balancer's own clock, as an age, and false if there is none.
+func (d *Directory) ProvedAge() (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.Clock.Since(d.provedAt), !d.provedAt.IsZero()
+}
+
 // Run reads the platform and exchanges catalogs until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -291,7 +316,7 @@
 // holds the lock.
 func (d *Directory) recordPassed() {
 	if d.sum == d.passedSum {
-		d.passedAt, d.passedExactAt = d.readAt, d.exactAt
+		d.passedAt, d.passedProvedAt = d.readAt, d.provedAt
 	}
 }
 
@@ -306,7 +331,7 @@
 
 // corroboratedLocked is Corroborated for a caller that holds the lock.
 func (d *Directory) corroboratedLocked() bool {
-	return d.confirmed || d.readAt.Sub(d.readableSince) > corroborationPeriod
+	return d.confirmed || d.provedAt.Sub(d.readableSince) > corroborationPeriod
 }
 
 // NoCorroboratedPeer reports whether no other balancer has a complete list of the servers that may
@@ -425,6 +450,8 @@
 		Failing:       !d.failedSince.IsZero(),
 		Corroborated:  d.corroboratedLocked(),
 		Replica:       d.config.Replica,
+		ProvedAge:     d.config.Clock.Since(d.provedAt),
+		Proved:        !d.provedAt.IsZero(),
 	}
 }
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// entries that expired in an outage return sooner. Later it is named only to those whose lists
 	// are not complete, which may never have read it.
 	expiredReturn = 5 * time.Second
+	// proversPerRound is how many balancers are requested in a round to prove a reading: one of them may
+	// have stopped.
+	proversPerRound = 2
 	// seedTimeout limits the wait for the balancers named in the settings, which answer
 	// within a few round trips unless they are down.
 	seedTimeout = 300 * time.Millisecond
@@ -66,6 +70,9 @@
 	// Servers and ServersDelta are absent if the caller has the same or newer servers.
 	Servers      *catalog.Servers      `json:"servers,omitempty"`
 	ServersDelta *catalog.ServersDelta `json:"serversDelta,omitempty"`
+	// ProvedMillis is the time after which the routes and servers were read for certain, as an age in
+	// milliseconds; 0 if there is none.
+	ProvedMillis int64 `json:"provedMillis,omitempty"`
 	// AgeMillis is the time since the servers were read, in milliseconds.
 	AgeMillis int64 `json:"ageMillis"`
 	// Evacuations is the set of evacuated zones. It is absent if it is in the servers, or the
@@ -93,19 +100,49 @@
 }
 
 func (d *Directory) sendDigests() {
-	d.sendDigestTo(append(d.targets(), d.replicas()...)...)
+	targets := append(d.targets(), d.replicas()...)
+	d.sendRound(targets, d.provers(targets))
 }
 
 func (d *Directory) sendDigestTo(targets ...netip.AddrPort) {
+	d.sendRound(targets, nil)
+}
+
+// sendRound sends a round of digests. Those in asked are requested to answer at once.
+func (d *Directory) sendRound(targets, asked []netip.AddrPort) {
 	f := d.freshness()
+	echoes := d.beginRound(targets, &f)
 	if f.Revision == 0 {
 		f.Age = memberRetention
 	}
+	named := d.named()
 	var b [steer.DigestMaxLen]byte
-	n := steer.PutDigest(b[:], f, d.named())
-	for _, t := range targets {
-		d.config.Send(b[:n], t)
+	for i, t := range targets {
+		f.Echo, f.ReplyRequested = echoes[i], slices.Contains(asked, t)
+		d.config.Send(b[:steer.PutDigest(b[:], f, named)], t)
+	}
+}
+
+// beginRound sets the number of a round in f, and returns the latest number received from each target.
+func (d *Directory) beginRound(targets []netip.AddrPort, f *steer.Freshness) []uint16 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.Number = d.rounds.Begin(d.config.Clock.Now())
+	return lo.Map(targets, func(t netip.AddrPort, _ int) uint16 { return d.members[t].number })
+}
+
+// provers returns those of the targets of a round that are requested to prove a reading: some that have
+// the youngest proofs themselves, if that of this directory is too old. In a large fleet, digests that
+// return a recent number of this directory are rare.
+func (d *Directory) provers(targets []netip.AddrPort) []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config.Replica || d.config.Clock.Since(d.provedAt) <= d.pace(readInterval+digestInterval) {
+		return nil
 	}
+	younger := lo.Filter(targets, func(t netip.AddrPort, _ int) bool { return d.members[t].provedAt.After(d.provedAt) })
+	slices.SortFunc(younger, func(a, b netip.AddrPort) int { return d.members[b].provedAt.Compare(d.members[a].provedAt) })
+	return younger[:min(len(younger), proversPerRound)]
 }
 
 // targets returns the balancers that receive a round of digests: all of them, or a random
@@ -142,11 +179,11 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.members[from].lastReceived.IsZero() && !d.config.Replica {
+	if (d.members[from].lastReceived.IsZero() || f.ReplyRequested) && !d.config.Replica {
 		// The sender may know nobody else: the next rounds of digests may all leave it out.
 		go d.sendDigestTo(from)
 	}
-	d.members[from] = member{lastReceived: now, epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, statesEpoch: f.StatesEpoch, evacuations: d.readsEvacuations(f)}
+	d.members[from] = member{lastReceived: now, number: f.Number, provedAt: provedAt(f, now), epoch: f.Epoch, leaving: f.Leaving, failing: f.Failing, statesEpoch: f.StatesEpoch, evacuations: d.readsEvacuations(f)}
 	if d.config.Replica {
 		members = nil
 	}
@@ -158,6 +195,9 @@
 	c := d.catalog.Load()
 	readAt := now.Add(-f.Age)
 	if d.confirms(f) {
+		if began, ok := d.rounds.BeganAt(f.Echo); ok && f.Proved {
+			d.recordProved(began.Add(-f.ProvedAge))
+		}
 		d.advanceReading(readAt)
 		if c.Servers.Before(f.Position) {
 			d.catalog.Store(c.WithServers(c.Servers.WithPosition(f.Position)))
@@ -170,6 +210,15 @@
 	}
 }
 
+// provedAt returns the time after which the sender of a digest has read its catalog for certain, as far as
+// the digest shows that arrives now; zero if it states none.
+func provedAt(f steer.Freshness, now time.Time) time.Time {
+	if !f.Proved {
+		return time.Time{}
+	}
+	return now.Add(-f.ProvedAge)
+}
+
 // skippedRoutes reports whether the sender of a digest has had a version of the routes in force whose
 // services this directory does not know.
 func (d *Directory) skippedRoutes(f steer.Freshness, from netip.AddrPort) bool {
@@ -301,6 +350,18 @@
 		r.Servers.List = list
 		age := fromMillis(r.AgeMillis) + d.config.Clock.Since(requestedAt)
 		d.applyServers(*r.Servers, age, from)
+		d.recordFetched(r, requestedAt)
+	}
+}
+
+// recordFetched records the proof that another directory has returned with the servers now in force, to a
+// call that began at the given time.
+func (d *Directory) recordFetched(r catalogResult, requestedAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	routesRefused := r.RoutesDelta != nil && r.Routes == nil
+	if c := d.catalog.Load(); r.ProvedMillis > 0 && c.Servers.Position == r.Servers.Position && !routesRefused {
+		d.recordProved(requestedAt.Add(-fromMillis(r.ProvedMillis)))
 	}
 }
 
@@ -358,6 +419,9 @@
 		r.Evacuations = nil
 		d.history.serversSince(p.Sum, c.Servers, &r)
 		r.AgeMillis = now.Sub(d.readAt).Milliseconds()
+		if !d.provedAt.IsZero() {
+			r.ProvedMillis = now.Sub(d.provedAt).Milliseconds() + 1
+		}
 	}
 	return r, nil
 }
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -120,11 +120,11 @@
 }
 
 // Layout of a digest, in bytes: the version of the routes and the revision of the servers lie
-// between versionOffset and ageOffset, the epoch at the end.
+// between versionOffset and ageOffset; the epoch, and what newer programs state, at the end.
 const (
 	versionOffset = 2
 	ageOffset     = 18
-	epochLen      = 8
+	epochLen      = 8 + 14
 )
 
 // connect determines whether a directory exchanges digests with others.
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -30,6 +30,9 @@
 	steppedRanks = 2
 	// readingDuration is how long a reading may take whose calls are all answered in time.
 	readingDuration = 500 * time.Millisecond
+	// proofDelay is how much older than a reading the proof of it may be: digests return the number of
+	// one that the receiver has sent in its latest round, and one of them may be lost.
+	proofDelay = 2 * digestInterval
 	// retryInterval is the pause after a failed read, and after a failed accept.
 	retryInterval = 500 * time.Millisecond
 	// memberTimeout is how long a silent balancer keeps its rank in the order of
@@ -117,7 +120,7 @@
 	}
 	if withRoutes {
 		d.mu.Lock()
-		d.recordExact(requestedAt)
+		d.recordProved(requestedAt)
 		d.mu.Unlock()
 	}
 	return nil
@@ -140,12 +143,39 @@
 		interval = startReadInterval
 	}
 	due := d.readAt.Add(interval + delay)
+	if limit := d.proofLimit(delay); limit.Before(due) {
+		due = limit
+		d.recordUnproved(due)
+	}
 	if onDemand := d.demand.reader.Due(); d.demand.requested() && onDemand.Before(due) {
 		due = onDemand
 	}
 	return due.Sub(d.config.Clock.Now())
 }
 
+// proofLimit returns when a balancer reads the platform whatever digests have stated, since their
+// senders or this balancer may have stood still in the meantime: delay is that of its rank. The caller
+// holds the lock.
+func (d *Directory) proofLimit(delay time.Duration) time.Time {
+	since := d.provedAt
+	if since.Before(d.firstReadAt) {
+		since = d.firstReadAt
+	}
+	return since.Add(min(d.pace(readInterval+proofDelay)+delay, d.config.Bounds.MaxReadingAge()))
+}
+
+// recordUnproved counts and logs that a reading is due although digests have stated a younger one, once
+// until the next proof. The caller holds the lock.
+func (d *Directory) recordUnproved(due time.Time) {
+	now := d.config.Clock.Now()
+	if d.limitLogged || now.Before(due) {
+		return
+	}
+	d.limitLogged = true
+	d.counts.Unproved.Add(1)
+	d.config.Log.Info("readingUnproved").Dur("statedAge", now.Sub(d.readAt)).Dur("provedAge", now.Sub(d.provedAt)).Send()
+}
+
 // readDelay returns how much later than the first one the balancer of a rank reads, out of count
 // balancers. Whatever they do, none lets its list become older than MaxReadingAge. If the first
 // ones are lost together, few others read before they learn of the first reading: each time the
--- a/internal/directory/skipped_test.go
+++ b/internal/directory/skipped_test.go
@@ -58,7 +58,7 @@
 		o.applyRoutes(route(3, "pass"), "platform")
 	}
 	clock.Advance(d.config.MaxFlow + time.Second)
-	d.recordExactNow()
+	d.recordProvedNow()
 	other.applyRoutes(route(8, "next"), "platform")
 	other.applyRoutes(route(13, "pass"), "platform")
 	d.applyRoutes(route(13, "pass"), "platform")
@@ -81,11 +81,11 @@
 	}
 }
 
-// recordExactNow records that the catalog in force was read now.
-func (d *Directory) recordExactNow() {
+// recordProvedNow records that the catalog in force was read now.
+func (d *Directory) recordProvedNow() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recordExact(d.config.Clock.Now())
+	d.recordProved(d.config.Clock.Now())
 }
 
 // publishRoutes replaces the routes.
--- a/internal/packetmetrics/packetmetrics.go
+++ b/internal/packetmetrics/packetmetrics.go
@@ -70,10 +70,15 @@
 	m.counter("entries_ignored_total", "Entries of the list of servers that describe no usable server, once for each content.", r.Ignored.Load)
 	m.counter("servers_refused_total", "Lists of servers refused because they were older than the list in force.", r.Refused.Load)
 	m.counter("catalog_fetches_total", "Catalogs fetched from other balancers.", r.Fetches.Load)
-	m.gauge("catalog_age_seconds", "Time since the catalog was read from the platform, by this balancer or another one.", func() float64 {
+	m.gauge("catalog_age_seconds", "Time since the catalog was read from the platform, by this balancer or another one, as far as others have stated.", func() float64 {
 		age, _ := d.Age()
 		return age.Seconds()
 	})
+	m.gauge("catalog_proved_age_seconds", "Time after which the catalog was read from the platform for certain, by this balancer's own clock, as an age.", func() float64 {
+		age, _ := d.ProvedAge()
+		return age.Seconds()
+	})
+	m.counter("platform_readings_unproved_total", "Readings of the platform that were due although other balancers stated younger ones.", r.Unproved.Load)
 	m.gauge("routes_version", "Version of the routes in force.", func() float64 { return float64(d.Catalog().Routes.Version) })
 	m.gauge("routes_known_seconds", "For how long every service is known that a route has led to, at most the time for which a flow may last.",
 		func() float64 { return d.RoutesKnownFor().Seconds() })
--- a/internal/steer/digest.go
+++ b/internal/steer/digest.go
@@ -39,6 +39,15 @@
 	// Corroborated is true if the sender's list of servers is confirmed to be complete: it
 	// holds every server that may run.
 	Corroborated bool
+	// Number is that of the round of digests, from which on the sender recognizes an Echo; 0 in those
+	// of older programs. Echo is the latest Number that the sender has received from the receiver.
+	Number, Echo uint16
+	// ProvedAge is the time after which the routes and servers were read for certain, by the clock of
+	// the sender alone, as an age; valid if Proved is true.
+	ProvedAge time.Duration
+	Proved    bool
+	// ReplyRequested is true if the receiver is to answer with its own digest at once.
+	ReplyRequested bool
 	// Replica is true if the sender is an agent, which stores a copy of the catalog and never
 	// reads the platform.
 	Replica bool
@@ -50,6 +59,7 @@
 	corroboratedFlag
 	replicaFlag
 	failingFlag
+	replyFlag
 )
 
 const (
@@ -57,13 +67,17 @@
 	// epochLen is the length of the epoch, which follows the other balancers: programs that
 	// do not know epochs ignore what follows them.
 	epochLen = 8
-	// evacuationsLen is the length of EvacuationsAt, which follows the epoch if it or FormerVersion is
-	// not zero.
+	// evacuationsLen is the length of EvacuationsAt, which follows the epoch if it is not zero.
 	evacuationsLen = 8 + 8
-	// formerVersionLen is the length of FormerVersion, which follows EvacuationsAt if it is not zero.
-	formerVersionLen = 8
+	// proofLen is the length of FormerVersion, Number, Echo and ProvedAge, which end a digest. Programs
+	// that do not know them ignore them: they tell what follows the epoch by its length.
+	proofLen = 8 + 2 + 2 + 2
+	// maxProvedAge is the longest age that is stated, and noProvedAge stands for an unknown one; in
+	// milliseconds.
+	maxProvedAge = noProvedAge - 1
+	noProvedAge  = 1<<16 - 1
 	// DigestMaxLen is the length of the longest digest, in bytes.
-	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen + evacuationsLen + formerVersionLen
+	DigestMaxLen = digestFixedLen + MaxMembers*addrLen + epochLen + evacuationsLen + proofLen
 )
 
 // PutDigest writes a digest into b, which holds at least DigestMaxLen bytes,
@@ -74,7 +88,7 @@
 	binary.BigEndian.PutUint64(b[10:], f.Revision)
 	binary.BigEndian.PutUint32(b[18:], uint32(min(f.Age.Milliseconds(), 1<<32-1)))
 	binary.BigEndian.PutUint64(b[22:], f.Sum)
-	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag) | flag(f.Replica, replicaFlag) | flag(f.Failing, failingFlag)
+	b[30] = flag(f.Leaving, leavingFlag) | flag(f.Corroborated, corroboratedFlag) | flag(f.Replica, replicaFlag) | flag(f.Failing, failingFlag) | flag(f.ReplyRequested, replyFlag)
 	members = members[:min(len(members), MaxMembers)]
 	b[31] = byte(len(members))
 	for i, m := range members {
@@ -83,17 +97,33 @@
 	n := digestFixedLen + len(members)*addrLen
 	binary.BigEndian.PutUint64(b[n:], f.Epoch)
 	n += epochLen
-	if f.EvacuationsAt == (position.Position{}) && f.FormerVersion == 0 {
-		return n
+	if f.EvacuationsAt != (position.Position{}) {
+		binary.BigEndian.PutUint64(b[n:], f.EvacuationsAt.Epoch)
+		binary.BigEndian.PutUint64(b[n+8:], f.EvacuationsAt.Revision)
+		n += evacuationsLen
 	}
-	binary.BigEndian.PutUint64(b[n:], f.EvacuationsAt.Epoch)
-	binary.BigEndian.PutUint64(b[n+8:], f.EvacuationsAt.Revision)
-	n += evacuationsLen
-	if f.FormerVersion == 0 {
-		return n
+	f.putProof(b[n:])
+	return n + proofLen
+}
+
+func (f Freshness) putProof(b []byte) {
+	age := uint16(noProvedAge)
+	if f.Proved {
+		// Rounded up, so that nothing seems younger than it is.
+		age = uint16(min((f.ProvedAge + time.Millisecond - 1).Milliseconds(), maxProvedAge))
+	}
+	binary.BigEndian.PutUint64(b, f.FormerVersion)
+	binary.BigEndian.PutUint16(b[8:], f.Number)
+	binary.BigEndian.PutUint16(b[10:], f.Echo)
+	binary.BigEndian.PutUint16(b[12:], age)
+}
+
+func (f *Freshness) parseProof(b []byte) {
+	f.FormerVersion = binary.BigEndian.Uint64(b)
+	f.Number, f.Echo = binary.BigEndian.Uint16(b[8:]), binary.BigEndian.Uint16(b[10:])
+	if age := binary.BigEndian.Uint16(b[12:]); age < maxProvedAge {
+		f.ProvedAge, f.Proved = time.Duration(age)*time.Millisecond, true
 	}
-	binary.BigEndian.PutUint64(b[n:], f.FormerVersion)
-	return n + formerVersionLen
 }
 
 // ParseDigest decodes a digest: the sender's state, and the other balancers that it names.
@@ -116,26 +146,25 @@
 	if len(rest) >= epochLen {
 		at.Epoch = binary.BigEndian.Uint64(rest)
 	}
-	var evacuationsAt position.Position
-	if len(rest) >= epochLen+evacuationsLen {
-		evacuationsAt.Epoch = binary.BigEndian.Uint64(rest[epochLen:])
-		evacuationsAt.Revision = binary.BigEndian.Uint64(rest[epochLen+8:])
-	}
-	var formerVersion uint64
-	if len(rest) >= epochLen+evacuationsLen+formerVersionLen {
-		formerVersion = binary.BigEndian.Uint64(rest[epochLen+evacuationsLen:])
-	}
-	return Freshness{
+	f := Freshness{
 		RoutesVersion: binary.BigEndian.Uint64(b[2:]),
-		FormerVersion: formerVersion,
 		Position:      at,
 		StatesEpoch:   len(rest) >= epochLen,
-		EvacuationsAt: evacuationsAt,
 		Age:           time.Duration(binary.BigEndian.Uint32(b[18:])) * time.Millisecond,
 		Sum:           binary.BigEndian.Uint64(b[22:]),
 		Leaving:       b[30]&leavingFlag != 0,
 		Failing:       b[30]&failingFlag != 0,
 		Corroborated:  b[30]&corroboratedFlag != 0,
 		Replica:       b[30]&replicaFlag != 0,
-	}, members, true
+
+		ReplyRequested: b[30]&replyFlag != 0,
+	}
+	if rest = rest[min(epochLen, len(rest)):]; len(rest) >= evacuationsLen {
+		f.EvacuationsAt = position.Position{Epoch: binary.BigEndian.Uint64(rest), Revision: binary.BigEndian.Uint64(rest[8:])}
+		rest = rest[evacuationsLen:]
+	}
+	if len(rest) >= proofLen {
+		f.parseProof(rest)
+	}
+	return f, members, true
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -94,6 +94,9 @@
 			Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond, Sum: rapid.Uint64().Draw(t, "sum"),
 			Leaving: rapid.Bool().Draw(t, "leaving"), Corroborated: rapid.Bool().Draw(t, "corroborated"),
 			Replica: rapid.Bool().Draw(t, "replica"), StatesEpoch: true,
+			FormerVersion: rapid.Uint64().Draw(t, "formerVersion"), Number: rapid.Uint16().Draw(t, "number"), Echo: rapid.Uint16().Draw(t, "echo"),
+			ProvedAge: time.Duration(rapid.IntRange(0, maxProvedAge-1).Draw(t, "provedAge")) * time.Millisecond, Proved: true,
+			ReplyRequested: rapid.Bool().Draw(t, "reply"),
 		}
 		fresh.EvacuationsAt = position.Position{Epoch: rapid.Uint64().Draw(t, "evacuationsEpoch"), Revision: rapid.Uint64Min(1).Draw(t, "evacuationsRevision")}
 		members := []netip.AddrPort{drawAddress(t), drawAddress(t)}
@@ -103,20 +106,21 @@
 		if !ok || got != fresh || len(gotMembers) != 2 || gotMembers[1] != members[1] {
 			t.Fatalf("digest %t %+v %v", ok, got, gotMembers)
 		}
-		fresh.FormerVersion = rapid.Uint64Min(1).Draw(t, "formerVersion")
-		if long := PutDigest(digest[:], fresh, members); long != n+formerVersionLen {
-			t.Fatalf("digest with a former version of %d bytes, want %d", long, n+formerVersionLen)
+		older := fresh
+		older.FormerVersion, older.Number, older.Echo, older.ProvedAge, older.Proved = 0, 0, 0, 0, false
+		if got, _, ok := ParseDigest(digest[:n-proofLen]); !ok || got != older {
+			t.Fatalf("digest without a proof %t %+v, want %+v", ok, got, older)
 		}
-		if got, _, ok := ParseDigest(digest[:n+formerVersionLen]); !ok || got != fresh {
-			t.Fatalf("digest with a former version %t %+v, want %+v", ok, got, fresh)
-		}
-		fresh.EvacuationsAt, fresh.FormerVersion = position.Position{}, 0
+		fresh.EvacuationsAt = position.Position{}
 		if short := PutDigest(digest[:], fresh, members); short != n-evacuationsLen {
 			t.Fatalf("digest without evacuations of %d bytes, want %d", short, n-evacuationsLen)
 		}
-		fresh.Epoch, fresh.StatesEpoch, n = 0, false, n-evacuationsLen
-		if got, _, ok := ParseDigest(digest[:n-epochLen]); !ok || got != fresh {
-			t.Fatalf("digest without epoch %t %+v, want %+v", ok, got, fresh)
+		if got, _, ok := ParseDigest(digest[:n-evacuationsLen]); !ok || got != fresh {
+			t.Fatalf("digest without evacuations %t %+v, want %+v", ok, got, fresh)
+		}
+		older.EvacuationsAt, older.Epoch, older.StatesEpoch, n = position.Position{}, 0, false, n-evacuationsLen-proofLen
+		if got, _, ok := ParseDigest(digest[:n-epochLen]); !ok || got != older {
+			t.Fatalf("digest without epoch %t %+v, want %+v", ok, got, older)
 		}
 	})
 }
