Conclude that a flow is lost only from readings that the own clock proves

Cause: the proof that no server holds a flow took the age that digests state, with a margin of 150 ms. A digest that waits in the socket of a balancer that stands still makes a list seem younger than a packet that arrived after it was read, an entry seem missing for 2.5 s that is about to return, and an evacuation seem over.

Done: these conclusions rest on the proved time of the reading, without a margin. What only ends the use of a server keeps the stated time, since it errs on the early side.

--- a/internal/absence/absence.go
+++ b/internal/absence/absence.go
@@ -5,23 +5,17 @@
 
 import "time"
 
-// ReadingDelay is the longest time by which a reading of the list may seem more recent than it
-// is: digests, which confirm readings of other balancers, pass two zones and wait for a small
-// processor.
-const ReadingDelay = 150 * time.Millisecond
-
 // Evidence is what a balancer knows about a flow for which it has found no holder.
 type Evidence struct {
 	// OpenSince is when the first packet arrived that only an open flow sends. A server that
 	// holds the flow was registered at the platform before.
 	OpenSince time.Time
-	// ListReadAt is when the list of the queried agents was read from the platform.
-	ListReadAt time.Time
-	// ListReadSince is a time by this balancer's own clock after which that reading began for
-	// certain: it has made the reading itself then, or requested it; zero if there is none.
+	// ListReadSince is a time by this balancer's own clock after which the list of the queried agents
+	// was read from the platform for certain; zero if there is none. The age that another balancer
+	// states is no such time: its message may have waited.
 	ListReadSince time.Time
 	// ListConfirmed is true if the list, together with the entries that expired recently, holds
-	// every server that ran at ListReadAt.
+	// every server that ran at ListReadSince.
 	ListConfirmed bool
 	// Interrupted is true if entries of live servers may be missing from the list because the
 	// platform was unavailable, or returned from a backup, a moment ago.
@@ -63,18 +57,9 @@
 		return UnconfirmedList
 	case e.Interrupted:
 		return InterruptedList
-	case !e.listYounger():
+	case e.OpenSince.IsZero() || !e.ListReadSince.After(e.OpenSince):
 		return StaleList
 	default:
 		return None
 	}
 }
-
-// listYounger reports whether the list was read after the first packet arrived. A time that other
-// balancers have stated may seem up to ReadingDelay too late; one of the own clock is exact.
-func (e Evidence) listYounger() bool {
-	if e.OpenSince.IsZero() {
-		return false
-	}
-	return e.ListReadAt.After(e.OpenSince.Add(ReadingDelay)) || e.ListReadSince.After(e.OpenSince)
-}
--- a/internal/absence/absence_test.go
+++ b/internal/absence/absence_test.go
@@ -23,7 +23,7 @@
 			if err != nil {
 				d.Fatalf(t, "%v", err)
 			}
-			e.ListReadAt = e.OpenSince.Add(wait)
+			e.ListReadSince = e.OpenSince.Add(wait)
 		}
 		if e.Doubt() == None {
 			return "no server holds the flow"
--- a/internal/lab/evenload/balancer.go
+++ b/internal/lab/evenload/balancer.go
@@ -22,13 +22,13 @@
 	for j := range s.Servers {
 		list = append(list, s.entry(j))
 	}
-	b.selection.RecordRead(s.now)
+	b.selection.RecordRead(s.now, s.now)
 	b.selection.Update(catalog.NewServers(position.Position{Revision: 1}, list), s.now)
 	b.selection.SetOrder(s.placement.order(s.random))
 	var ping func()
 	ping = func() {
 		s.after(pingInterval, ping)
-		b.selection.RecordRead(s.now)
+		b.selection.RecordRead(s.now, s.now)
 		b.selection.NotifyChanges(s.now, func(_ selection.Agent, silent bool) {
 			if silent && s.measuring() {
 				s.outcome.Silent++
--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -165,7 +165,7 @@
 		Corroborated:       b.corroborated,
 		NoCorroboratedPeer: func() bool { return !l.anyCorroborated() },
 		ReadAt:             func() time.Time { return b.readAt },
-		ReadSince:          func() time.Time { return time.Time{} },
+		ReadSince:          func() time.Time { return b.readAt },
 		RequestReading:     func() {},
 		Digest:             func(context.Context, []byte, netip.AddrPort) {},
 		Clock:              l.clock,
--- a/internal/packetbalancer/bench_test.go
+++ b/internal/packetbalancer/bench_test.go
@@ -61,7 +61,7 @@
 		AgentPort: agent.Port(), MaxFlow: time.Minute, Bounds: bounds.Default(), Codec: platform.PacketCodec(),
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true }, NoCorroboratedPeer: func() bool { return false }, ReadAt: time.Now,
 		RouteHistory: routehistory.NewHistory(time.Minute, time.Minute),
-		ReadSince:    func() time.Time { return time.Time{} }, RequestReading: func() {},
+		ReadSince:    time.Now, RequestReading: func() {},
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}, Transport{SendFleetDatagram: writeTo(front), SendToCaller: writeTo(front)})
--- a/internal/packetbalancer/census.go
+++ b/internal/packetbalancer/census.go
@@ -92,7 +92,7 @@
 func (b *Balancer) sendQuery(group queryGroup, flows []*searchedFlow, now time.Time) {
 	b.mu.Lock()
 	q := &b.queries
-	b.selection.RecordRead(b.config.ReadAt())
+	b.recordReading(now)
 	hash := b.selection.Hash(flows[0].flow)
 	s := b.scope(group.route, hash, b.allServices(now), now)
 	denied := group.denied
--- a/internal/packetbalancer/census_test.go
+++ b/internal/packetbalancer/census_test.go
@@ -9,7 +9,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/lo"
 
-	"github.com/bergamotgw/bergamotgw/internal/absence"
 	"github.com/bergamotgw/bergamotgw/internal/catalog"
 	"github.com/bergamotgw/bergamotgw/internal/packet"
 	"github.com/bergamotgw/bergamotgw/internal/position"
@@ -102,10 +101,10 @@
 	}
 }
 
-// readList advances the time until the list counts as read after all packets so far, and lets
-// the balancer judge its searches again.
+// readList advances the time by that of a reading, so that the list counts as read after all packets
+// so far, and lets the balancer judge its searches again.
 func (f *searchFleet) readList() {
-	f.clock.Advance(absence.ReadingDelay + time.Millisecond)
+	f.clock.Advance(150*time.Millisecond + time.Millisecond)
 	f.balancer.PingAgents()
 }
 
--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -50,11 +50,10 @@
 // newReview returns a review of the present state. The caller holds the lock. The reading of the
 // list is determined before, so that the selection has that list or a newer one.
 func (b *Balancer) newReview(r reading, now time.Time) review {
-	b.selection.RecordRead(r.at)
+	b.selection.RecordRead(r.at, r.since)
 	return review{
 		now: now, catalog: b.config.Catalog(), all: b.allServices(now), silent: make(map[netip.AddrPort]bool),
 		common: absence.Evidence{
-			ListReadAt:    r.at,
 			ListReadSince: r.since,
 			ListConfirmed: r.corroborated || r.noCorroboratedPeer && b.selection.AllRecentlyStarted(),
 			Interrupted:   b.selection.Interrupted(),
@@ -125,7 +124,7 @@
 		f.doubt = doubt
 		b.counts.Inconclusive.Add(1)
 		b.config.Log.Info("searchInconclusive").Stringer("flow", f.flow).Str("doubt", string(doubt)).
-			Time("openSince", e.OpenSince).Time("listReadAt", e.ListReadAt).Send()
+			Time("openSince", e.OpenSince).Time("listReadSince", e.ListReadSince).Send()
 	}
 	return false
 }
@@ -137,7 +136,7 @@
 	}
 	b.counts.Reset.Add(1)
 	b.config.Log.Info("flowReset").Stringer("flow", f.flow).Str("reason", "notHeldAnywhere").Uint8("attempt", f.envelope.Attempt).
-		Time("openSince", e.OpenSince).Time("listReadAt", e.ListReadAt).Time("deniedAt", f.denied.at).Send()
+		Time("openSince", e.OpenSince).Time("listReadSince", e.ListReadSince).Time("deniedAt", f.denied.at).Send()
 	b.reset(f.flow, f.packet.AckSeq)
 }
 
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -96,7 +96,7 @@
 	e := b.envelope(route)
 	e.FreeSlot = b.config.Placement != nil
 	b.mu.Lock()
-	b.selection.RecordRead(b.config.ReadAt())
+	b.recordReading(now)
 	hash := b.selection.Hash(flow)
 	service := route.Select(hash)
 	e.Service = catalog.ServiceID(service)
--- a/internal/packetbalancer/growth_test.go
+++ b/internal/packetbalancer/growth_test.go
@@ -44,7 +44,7 @@
 		Catalog: func() *catalog.Catalog { return c }, Corroborated: func() bool { return true },
 		NoCorroboratedPeer: func() bool { return false }, ReadAt: clock.Now,
 		RouteHistory: routehistory.NewHistory(time.Minute, time.Minute),
-		ReadSince:    func() time.Time { return time.Time{} }, RequestReading: func() {},
+		ReadSince:    clock.Now, RequestReading: func() {},
 		Digest: func(context.Context, []byte, netip.AddrPort) {}, Clock: clock,
 		Log: eventlog.NewDirectLog(zerolog.Nop(), clock),
 	}, Transport{
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -73,10 +73,10 @@
 	// confirmed to be complete: all of them have just started, or there are none.
 	NoCorroboratedPeer func() bool
 	// ReadAt returns when the list of servers was read from the platform, by this balancer or
-	// another one.
+	// another one, as far as is known: what another one has stated may have waited.
 	ReadAt func() time.Time
 	// ReadSince returns a time of the own clock after which the routes and servers were read for
-	// certain, and RequestReading requests a later reading.
+	// certain, never after ReadAt, and RequestReading requests a later reading.
 	ReadSince      func() time.Time
 	RequestReading func()
 	// Digest handles digests of other balancers, and their requests for readings.
@@ -268,7 +268,7 @@
 func (b *Balancer) PingAgents() {
 	now := b.config.Clock.Now()
 	b.mu.Lock()
-	b.selection.RecordRead(b.config.ReadAt())
+	b.recordReading(now)
 	b.selection.NotifyChanges(now, b.logStateChange)
 	b.selection.NotifyStopped(b.logStopped)
 	lostAgents := b.selection.LostAgents(now)
@@ -281,6 +281,12 @@
 	b.maintainSearches(now)
 }
 
+// recordReading passes the time of the latest reading of the list to the selection. The caller holds the
+// lock.
+func (b *Balancer) recordReading(_ time.Time) {
+	b.selection.RecordRead(b.config.ReadAt(), b.config.ReadSince())
+}
+
 // ping sends a ping to each of some agents. The caller does not hold the lock.
 func (b *Balancer) ping(agents []netip.AddrPort, now time.Time) {
 	b.mu.Lock()
--- a/internal/packetbalancer/search.go
+++ b/internal/packetbalancer/search.go
@@ -69,7 +69,7 @@
 	e := b.envelope(route)
 	e.Attempt = entry.attempts
 	b.mu.Lock()
-	b.selection.RecordRead(b.config.ReadAt())
+	b.recordReading(now)
 	hash := b.selection.Hash(flow)
 	services := route.Services(hash)
 	e.Service = catalog.ServiceID(services[0])
--- a/internal/packetbalancer/search_test.go
+++ b/internal/packetbalancer/search_test.go
@@ -58,6 +58,7 @@
 	f, _ := newSearchFleet(4)
 	readAt := f.clock.Now()
 	f.balancer.config.ReadAt = func() time.Time { return readAt }
+	f.balancer.config.ReadSince = f.balancer.config.ReadAt
 	f.clock.Advance(time.Second)
 	_, raw := flowPacket(1, 200)
 	for range 20 {
--- a/internal/selection/evacuation.go
+++ b/internal/selection/evacuation.go
@@ -15,7 +15,7 @@
 // is retained stays so until a reading was made after the retention: the operator may have repeated
 // the request shortly before its end.
 func (s *Selection) ZoneEvacuated(zone string) bool {
-	return s.evacuations.Has(zone, s.lastReadAt)
+	return s.evacuations.Has(zone, s.readSince)
 }
 
 // Evacuated reports whether a service has no server for new flows because of an evacuation: there
--- a/internal/selection/listing.go
+++ b/internal/selection/listing.go
@@ -56,7 +56,7 @@
 // time to return. This balancer may never have read the entry.
 func (s *Selection) Expire(v catalog.Server, since, now time.Time) {
 	at := s.placeOf(v)
-	if a := s.agents[at]; a != nil && (a.Server.Born >= v.Born || s.lastReadAt.Sub(since) >= removedAfter) {
+	if a := s.agents[at]; a != nil && (a.Server.Born >= v.Born || s.readSince.Sub(since) >= removedAfter) {
 		return
 	}
 	s.setListed(at, v, since)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -149,6 +149,9 @@
 	// lastReadAt is when the list of servers was last read, and readsResumedAt when it was
 	// first read after an interval in which the platform was unavailable.
 	lastReadAt, readsResumedAt time.Time
+	// readSince is a time of this balancer's own clock after which the list was read for certain;
+	// what other balancers state of their readings may have waited. It is never after lastReadAt.
+	readSince time.Time
 	// interruptedUntil is when the entries of live servers that are missing because of the
 	// latest interruption of the platform have returned; zero if there was none.
 	interruptedUntil time.Time
@@ -344,22 +347,32 @@
 	return s.lastReadAt.Sub(since)
 }
 
-// RecordRead records when the list of servers was last read, by this balancer or another
-// reader.
-func (s *Selection) RecordRead(at time.Time) {
-	if at.Sub(s.lastReadAt) > s.bounds.MaxReadingAge()+readGapMargin {
+// provedMissing returns for how long a server is certainly missing from the list: like unlistedFor, but
+// by readings whose time other balancers need not be believed.
+func (s *Selection) provedMissing(a *Agent) time.Duration {
+	return s.unlistedFor(a) - s.lastReadAt.Sub(s.readSince)
+}
+
+// RecordRead records when the list of servers was last read, by this balancer or another reader, as
+// far as is known, and a time after which it was read for certain.
+func (s *Selection) RecordRead(at, since time.Time) {
+	gap := at.Sub(s.lastReadAt)
+	if !s.readSince.IsZero() {
+		gap = max(gap, since.Sub(s.readSince))
+	}
+	if gap > s.bounds.MaxReadingAge()+readGapMargin {
 		s.readsResumedAt = at
 		if !s.lastReadAt.IsZero() {
 			s.interruptedUntil = at.Add(removedAfter)
 		}
 	}
-	s.lastReadAt = at
+	s.lastReadAt, s.readSince = at, since
 }
 
 // Interrupted reports whether the platform was unavailable, or returned from a backup, so
 // recently that entries of live servers may still be missing from the list.
 func (s *Selection) Interrupted() bool {
-	return s.lastReadAt.Before(s.interruptedUntil)
+	return s.readSince.Before(s.interruptedUntil)
 }
 
 // NotifyChanges calls changed for each agent that has stopped or resumed answering since the
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -42,7 +42,7 @@
 		var denied uint64
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd != "outage" && !d.HasArg("unread") {
-				s.RecordRead(now)
+				s.RecordRead(now, now)
 			}
 			switch d.Cmd {
 			case "servers":
@@ -79,7 +79,7 @@
 				}
 				for ; wait > 0; wait -= testReadInterval {
 					now = now.Add(min(wait, testReadInterval))
-					s.RecordRead(now)
+					s.RecordRead(now, now)
 				}
 				return ""
 			case "outage":
--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -68,7 +68,7 @@
 	if a.unheard() {
 		return !a.suspect(now) && !s.foreign(a)
 	}
-	return a.suspect(now) && !s.foreign(a) && !a.stoppedForGood() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.unlistedFor(a) < removedAfter
+	return a.suspect(now) && !s.foreign(a) && !a.stoppedForGood() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.provedMissing(a) < removedAfter
 }
 
 // unheard reports whether the agent of a server that counts as gone has not answered yet. The server
