Count only time in which the balancer ran as silence of agents

Cause: an agent counts as lost after a ping has been unanswered for 5 s, also if the balancer stood still meanwhile and the answer waits in its socket. After several pauses of 1.7 s each no reading seems to have been missed either, so the denials of the others counted as a proof, and the flows of that agent were reset.

Done: the selection is told at each round of pings that the balancer runs, and adds longer pauses to the time since when an agent has left a message unanswered.

--- a/internal/packetbalancer/conclude.go
+++ b/internal/packetbalancer/conclude.go
@@ -50,6 +50,7 @@
 // newReview returns a review of the present state. The caller holds the lock. The reading of the
 // list is determined before, so that the selection has that list or a newer one.
 func (b *Balancer) newReview(r reading, now time.Time) review {
+	b.selection.RecordRun(now)
 	b.selection.RecordRead(r.at, r.since)
 	return review{
 		now: now, catalog: b.config.Catalog(), all: b.allServices(now), silent: make(map[netip.AddrPort]bool),
--- a/internal/packetbalancer/packetbalancer.go
+++ b/internal/packetbalancer/packetbalancer.go
@@ -281,9 +281,10 @@
 	b.maintainSearches(now)
 }
 
-// recordReading passes the time of the latest reading of the list to the selection. The caller holds the
-// lock.
-func (b *Balancer) recordReading(_ time.Time) {
+// recordReading passes the time of the latest reading of the list to the selection, and that the process
+// runs. The caller holds the lock.
+func (b *Balancer) recordReading(now time.Time) {
+	b.selection.RecordRun(now)
 	b.selection.RecordRead(b.config.ReadAt(), b.config.ReadSince())
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -54,6 +54,10 @@
 	// as silent: time for several round trips between zones, and for several scheduling
 	// delays of a small processor.
 	suspectTimeout = 150 * time.Millisecond
+	// runInterval is the longest time between two calls of RecordRun in a balancer that runs, and
+	// runDelay how much later the second one may be because the processor is busy.
+	runInterval = 100 * time.Millisecond
+	runDelay    = 100 * time.Millisecond
 	// maxStartSkew is how much earlier than this balancer a server may have started if
 	// both lost power together: VMs start within 0.3 s of each other, and their clocks
 	// differ slightly.
@@ -152,6 +156,8 @@
 	// readSince is a time of this balancer's own clock after which the list was read for certain;
 	// what other balancers state of their readings may have waited. It is never after lastReadAt.
 	readSince time.Time
+	// ranAt is when the balancer last recorded that it runs; zero before.
+	ranAt time.Time
 	// interruptedUntil is when the entries of live servers that are missing because of the
 	// latest interruption of the platform have returned; zero if there was none.
 	interruptedUntil time.Time
@@ -369,6 +375,22 @@
 	s.lastReadAt, s.readSince = at, since
 }
 
+// RecordRun records that the balancer runs, which it must call at least every runInterval. Time in which
+// it stood still is no time in which agents were silent: their answers have waited.
+func (s *Selection) RecordRun(now time.Time) {
+	pause := now.Sub(s.ranAt)
+	known := !s.ranAt.IsZero()
+	s.ranAt = now
+	if !known || pause <= runInterval+runDelay {
+		return
+	}
+	for _, a := range s.tracked {
+		if !a.UnansweredSince.IsZero() {
+			a.UnansweredSince = a.UnansweredSince.Add(pause - runInterval)
+		}
+	}
+}
+
 // Interrupted reports whether the platform was unavailable, or returned from a backup, so
 // recently that entries of live servers may still be missing from the list.
 func (s *Selection) Interrupted() bool {
