Ask the agents of services that no route names until they answer or count as gone

Cause: an entry of an unnamed service, at whose address one ping was not answered, counted as one of another writer for ever, so that the denials of all other agents counted as a proof.

--- a/internal/selection/silence.go
+++ b/internal/selection/silence.go
@@ -66,9 +66,19 @@
 // server may live and hold flows.
 func (s *Selection) silentMayHold(a *Agent, now time.Time) bool {
 	if a.unheard() {
-		return !a.suspect(now) && !s.foreign(a)
+		return !a.suspect(now)
 	}
-	return a.suspect(now) && !s.foreign(a) && !a.stoppedForGood() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.provedMissing(a) < removedAfter
+	if s.foreign(a) {
+		return s.sought(a, now) && s.provedMissing(a) < removedAfter
+	}
+	return a.suspect(now) && !a.stoppedForGood() && !a.leftAfterDraining() && !s.silentPastLimit(a, now) && s.provedMissing(a) < removedAfter
+}
+
+// sought reports whether there may be an agent beside the server of a foreign entry: it may be one of a
+// service that the operator no longer defines, and restart at present. Only an agent that has left pings
+// unanswered for as long as others may be silent counts as missing.
+func (s *Selection) sought(a *Agent, now time.Time) bool {
+	return a.UnansweredSince.IsZero() || now.Sub(a.UnansweredSince) <= s.bounds.LostTimeout()
 }
 
 // unheard reports whether the agent of a server that counts as gone has not answered yet. The server
--- a/internal/selection/watch.go
+++ b/internal/selection/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -32,6 +33,12 @@
 	meanPingInterval = 10 * time.Millisecond
 	// maxPings bounds the pings of one round, also while many agents do not answer.
 	maxPings = 24
+	// foreignPingInterval is the pause between two pings to the address of a foreign entry while there
+	// may be an agent, and missingPingInterval the one afterwards: an agent may start later.
+	foreignPingInterval = 300 * time.Millisecond
+	missingPingInterval = 5 * time.Second
+	// maxForeignPings bounds the pings of one round to such addresses, except first ones.
+	maxForeignPings = 8
 	// maxFirstPings bounds the pings of one round while there are agents that were never
 	// pinged, or not since their zone was evacuated or returned. Each agent is pinged once as
 	// soon as it is listed, so that searches do not fail at agents that are down.
@@ -39,8 +46,8 @@
 )
 
 // selectMonitored selects the agents that are pinged even while they are not used: some of
-// the balancer's own zone, and a sample of all. At the address of a foreign entry an agent is
-// looked for once.
+// the balancer's own zone, and a sample of all. Foreign entries have
+// none, as far as is known.
 func (s *Selection) selectMonitored() {
 	var near, sample topScored
 	for _, a := range s.agents {
@@ -86,14 +93,13 @@
 // DueForPing returns the agents to ping now: first those that were not pinged since their zone was
 // evacuated or returned; then, the one whose latest ping is the oldest first, those that were
 // never pinged, those that do not answer, those in use whose report is too old, and those of
-// evacuated zones whose latest ping is too old. Agents that were recently searched are due if
+// evacuated zones whose latest ping is too old; last, some foreign entries. Agents that were recently searched are due if
 // their report is older than inUsePeriod.
 func (s *Selection) DueForPing(now time.Time) []netip.AddrPort {
 	inUse, uninformed := 0, 0
 	for at, a := range s.tracked {
 		switch {
-		case s.foreign(a) && !a.lastPingAt.IsZero():
-			delete(s.tracked, at)
+		case s.foreign(a):
 		case a.inUse(now):
 			inUse++
 		case s.evacuated(a) || a.toldEvacuated:
@@ -105,8 +111,13 @@
 		}
 	}
 	maxAge, noticeAge := max(minReportAge, time.Duration(inUse)*meanPingInterval), s.noticeAge()
+	var foreign []*Agent
 	s.scored = s.scored[:0]
 	for _, a := range s.tracked {
+		if s.foreign(a) {
+			foreign = append(foreign, a)
+			continue
+		}
 		age := now.Sub(a.LastReportAt)
 		if a.lastPingAt.IsZero() || a.suspect(now) || a.unpinged() || a.inUse(now) && age > maxAge || a.recentlySearched(now) && age > inUsePeriod ||
 			s.misinformed(a) || s.evacuated(a) && now.Sub(a.lastPingAt) > noticeAge {
@@ -117,7 +128,23 @@
 		return cmp.Or(byScore(a, b), a.agent.lastPingAt.Compare(b.agent.lastPingAt), a.agent.Address.Compare(b.agent.Address))
 	})
 	limit := max(maxPings, min(uninformed, maxFirstPings))
-	return lo.Uniq(lo.Map(s.scored[:min(len(s.scored), limit)], func(c scored, _ int) netip.AddrPort { return c.agent.Address }))
+	due := lo.Map(s.scored[:min(len(s.scored), limit)], func(c scored, _ int) netip.AddrPort { return c.agent.Address })
+	return lo.Uniq(append(due, s.foreignDue(foreign, now)...))
+}
+
+// foreignDue returns the foreign entries at whose addresses an agent is looked for now: first those where
+// none was, then, at intervals, the one that was looked for the longest ago. They never delay the pings
+// to other agents.
+func (s *Selection) foreignDue(foreign []*Agent, now time.Time) []netip.AddrPort {
+	due := lo.Filter(foreign, func(a *Agent, _ int) bool {
+		return a.lastPingAt.IsZero() || now.Sub(a.lastPingAt) >= lo.Ternary(s.sought(a, now), foreignPingInterval, missingPingInterval)
+	})
+	slices.SortFunc(due, func(a, b *Agent) int {
+		return cmp.Or(a.lastPingAt.Compare(b.lastPingAt), a.Address.Compare(b.Address))
+	})
+	first := lo.CountBy(due, func(a *Agent) bool { return a.lastPingAt.IsZero() })
+	limit := max(maxForeignPings, min(first, maxFirstPings))
+	return lo.Map(due[:min(len(due), limit)], func(a *Agent, _ int) netip.AddrPort { return a.Address })
 }
 
 // unpinged reports whether a message to the agent is unanswered that was not a ping. An agent that
