Make processes of the emulator stand still, and move its routes, in random faults

Routes are split, moved to the other service and back, also for less than a reading, and leave a service undefined, while callers open flows that they keep. New flows are checked against the versions that were in force within the change bound.

--- a/internal/lab/packetlab/faults.go
+++ b/internal/lab/packetlab/faults.go
@@ -18,6 +18,11 @@
 
 // SetRoutes publishes routes, one for each kind, to the service of the same index.
 func (l *Lab) SetRoutes(version uint64, kinds []Kind, services []string) {
+	l.setShares(version, kinds, lo.Map(services, func(s string, _ int) []catalog.Share { return []catalog.Share{{Service: s, Weight: 1}} }))
+}
+
+// setShares publishes routes, one for each kind, with the shares of the same index.
+func (l *Lab) setShares(version uint64, kinds []Kind, shares [][]catalog.Share) {
 	routes := catalog.Routes{Version: version, Services: lo.Keys(l.coldRates), ColdFlowsPerSecond: l.coldRates}
 	for i, k := range kinds {
 		priority := uint8(2)
@@ -25,7 +30,7 @@
 			priority = 1
 		}
 		routes.List = append(routes.List, catalog.Route{
-			Name: k.Name, Address: k.Address, Shares: []catalog.Share{{Service: services[i], Weight: 1}},
+			Name: k.Name, Address: k.Address, Shares: shares[i],
 			Class: steer.Class{
 				Priority: priority, Once: k.Once,
 				TargetMillis: uint16(k.Target.Milliseconds()), TimeoutMillis: uint16(k.Timeout.Milliseconds()),
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/bergamotgw/bergamotgw/internal/catalog"
 )
 
 // Seeds of TestRandomFaults; more of them can be run by hand.
@@ -20,6 +22,7 @@
 	evacuationCount = flag.Int("packetlab.evacuationSeeds", 8, "number of seeds of TestRandomFaults with evacuations of zones")
 	isolationCount  = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 	balanced        = flag.Bool("packetlab.balanced", false, "whether balancers place new flows by random draws")
+	pauseCount      = flag.Int("packetlab.pauseSeeds", 8, "number of seeds of TestRandomFaults with processes that stand still and routes that move")
 	bootCount       = flag.Int("packetlab.bootSeeds", 9, "number of seeds of TestRandomFaults with servers that take time to listen")
 	coldCount       = flag.Int("packetlab.coldSeeds", 6, "number of seeds of TestRandomFaults with limits of new flows at cold servers")
 )
@@ -55,6 +58,13 @@
 	// randomEvacuationSeeds.
 	bootSeeds  = 900_000
 	randomBoot = 300 * time.Millisecond
+	// pauseSeeds is the first seed whose schedule also makes processes stand still and moves routes; it
+	// holds the faults of randomEvacuationSeeds too.
+	pauseSeeds = 2_000_000
+	// longestPause is the longest time for which a process stands still, and turnPause that of one of
+	// several in turn.
+	longestPause = 3500 * time.Millisecond
+	turnPause    = 800 * time.Millisecond
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// maxRandomFault is the longest time that a fault lasts.
@@ -92,6 +102,9 @@
 	for seed := uint64(bootSeeds); seed < bootSeeds+uint64(*bootCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(pauseSeeds); seed < pauseSeeds+uint64(*pauseCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 	for seed := uint64(largeSeeds); seed < largeSeeds+uint64(*largeCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
@@ -108,7 +121,8 @@
 	}
 	l.SetRoutes(1, []Kind{sessionKind, purchaseKind, pageKind}, []string{"pass", "pass", "portal"})
 	servers := 6 + r.IntN(40)
-	if seed >= largeSeeds {
+	large := seed >= largeSeeds && seed < pauseSeeds
+	if large {
 		servers += largeService
 	}
 	pass, portal := passService, portalService
@@ -137,32 +151,43 @@
 	if seed >= isolationSeeds {
 		kinds = 13
 	}
-	if seed >= randomRestoreSeeds && seed < largeSeeds {
+	if seed >= randomRestoreSeeds && !large {
 		kinds = 15
 		l.TakeBackups()
 	}
-	if seed >= randomEvacuationSeeds && seed < largeSeeds {
+	if seed >= randomEvacuationSeeds && !large {
 		kinds = 18
 	}
+	if seed >= pauseSeeds {
+		kinds = 23
+		// Flows may be lost only if the balancers know all former services, which takes them so long.
+		l.Run(maxFlow + time.Second)
+	}
+	begin := l.Elapsed()
 	lost := 0
 	for at := randomFrom; at < randomUntil; at += time.Duration(r.Int64N(int64(1500 * time.Millisecond))) {
 		d := maxRandomFault - 3*time.Second + time.Duration(r.Int64N(int64(3*time.Second)))
 		kind, pick := r.IntN(kinds), r.IntN(1000)
+		if seed >= pauseSeeds && pick%3 > 0 {
+			// Most faults are of the new kinds. After a loss of all processes no balancer knows the services
+			// of former flows for the rest of the run, so these are rare.
+			kind = 18 + kind%5
+		}
 		if (kind == 5 || kind == 6 || kind == 10) && lost >= 3 {
 			continue
 		}
 		if kind == 5 || kind == 6 || kind == 10 {
 			lost++
 		}
-		l.At(at, func() {
+		l.At(begin+at, func() {
 			faults = append(faults, fmt.Sprintf("%.3f s: %s", l.Elapsed().Seconds(), l.randomFault(kind, pick, d)))
 		})
 	}
-	l.Run(randomUntil + maxRandomFault)
+	l.Run(begin + randomUntil + maxRandomFault)
 	for len(l.requests) > 0 {
 		l.Run(l.Elapsed() + time.Second)
 	}
-	end := max(randomUntil, l.restoreEnd(), l.suddenStopAt.Sub(l.started), l.evacuatedUntil.Sub(l.started))
+	end := max(begin+randomUntil, l.restoreEnd(), l.suddenStopAt.Sub(l.started), l.evacuatedUntil.Sub(l.started))
 	l.Run(end + randomRecovery/2)
 	before := l.tally
 	l.Run(end + randomRecovery)
@@ -238,6 +263,23 @@
 		}
 		l.EvacuateZone(zone, length)
 		return fmt.Sprintf("evacuateZone %s %v", zone, length)
+	case kind == 18 && l.balancers[b].up:
+		pause := min(d+time.Duration(pick)*time.Millisecond, longestPause)
+		l.PauseBalancer(b, pause)
+		return fmt.Sprintf("pauseBalancer %d %v", b, pause)
+	case kind == 19:
+		l.PauseInTurn(pick%16, turnPause)
+		return fmt.Sprintf("pauseInTurn %d", pick%16)
+	case kind == 20 && running:
+		l.PauseAgent(s, d)
+		return fmt.Sprintf("pauseAgent %d %v", s, d)
+	case kind == 21 || kind == 22:
+		moved := l.moveRoutes(kind == 22, pick, d)
+		if pick%5 > 0 && l.balancers[b].up {
+			l.PauseBalancer(b, min(d+readInterval, longestPause))
+			moved += fmt.Sprintf(", pauseBalancer %d", b)
+		}
+		return moved
 	case kind == 10 && running && l.servers[s].service.Name == "pass":
 		l.ReuseAddress(s, portalService, 2*time.Second+d)
 		return fmt.Sprintf("reuseAddress %d %v", s, d)
@@ -251,3 +293,34 @@
 		return "nothing"
 	}
 }
+
+// moveRoutes publishes a version whose routes lead elsewhere, and later one that leads back. Either the
+// route of sessions is split or moved, for less than a reading too, or no route leads to the pass service
+// any more.
+func (l *Lab) moveRoutes(all bool, pick int, d time.Duration) string {
+	kinds := []Kind{sessionKind, purchaseKind, pageKind}
+	to := func(service string) []catalog.Share { return []catalog.Share{{Service: service, Weight: 1}} }
+	if pick%2 == 0 {
+		d /= 5
+	}
+	moved := [][]catalog.Share{to("portal"), to("pass"), to("portal")}
+	switch {
+	case all:
+		moved = [][]catalog.Share{to("portal"), to("portal"), to("portal")}
+	case pick%3 == 0:
+		moved[0] = []catalog.Share{{Service: "pass", Weight: 1}, {Service: "portal", Weight: 0.5}}
+	}
+	l.setShares(l.platform.newest.Version+uint64(1+pick%5), kinds, moved)
+	// These callers keep the flows that they open meanwhile.
+	l.after(d/4, func() {
+		for _, zone := range l.zones {
+			for range 4 {
+				l.AddCaller(zone).Load(sessionKind, time.Second, loadUntil)
+			}
+		}
+	})
+	l.after(d, func() {
+		l.SetRoutes(l.platform.newest.Version+uint64(1+pick%3), kinds, []string{"pass", "pass", "portal"})
+	})
+	return fmt.Sprintf("moveRoutes all %t, split %t, for %v", all, !all && pick%3 == 0, d)
+}
--- a/internal/lab/packetlab/rules.go
+++ b/internal/lab/packetlab/rules.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		if slices.ContainsFunc(v.routes.List, func(r catalog.Route) bool {
-			return r.Address == f.Service() && r.Shares[0].Service == service
+			return r.Address == f.Service() && slices.ContainsFunc(r.Shares, func(s catalog.Share) bool { return s.Service == service })
 		}) {
 			return true
 		}
