--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -47,6 +47,8 @@
 	down bool
 	// downSince is when the latest outage began.
 	downSince time.Time
+	// stableAt is when the stand-in that real processes read answers all calls again.
+	stableAt time.Time
 	// returnedAt is when it latest returned from a backup.
 	returnedAt time.Time
 	// backups holds earlier contents, the oldest first.
@@ -111,6 +113,8 @@
 	confirmed bool
 	// older is true if it behaves as a program that does not know of evacuations.
 	older bool
+	// refusedUntil is until when the stand-in that real processes read refuses this one.
+	refusedUntil time.Time
 	// routedUntil is when the fabric stops routing packets to the stopped balancer; zero
 	// while it runs.
 	routedUntil time.Time
--- a/internal/lab/packetlab/pause.go
+++ b/internal/lab/packetlab/pause.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	// longestPause is the longest time for which a process stands still, and turnPause that of one of
+	// several in turn.
+	longestPause = 3500 * time.Millisecond
+	turnPause    = 800 * time.Millisecond
+)
+
 // PauseBalancer makes the process of a balancer stand still for the given time.
 func (l *Lab) PauseBalancer(i int, d time.Duration) {
 	l.pause(l.balancers[i].vm, d)
@@ -17,7 +24,7 @@
 func (l *Lab) PauseInTurn(steps int, d time.Duration) {
 	for n := range steps {
 		l.after(time.Duration(n)*d/2, func() {
-			if others := len(l.balancers) - 1; others > 0 {
+			if others := len(l.balancers) - 1; others > 0 && l.balancers[1+n%others].up {
 				l.PauseBalancer(1+n%others, d)
 			}
 		})
@@ -28,7 +35,11 @@
 // fire late: it handles all of them as soon as it continues. A pause that begins during another one
 // extends it.
 func (l *Lab) pause(v *vm, d time.Duration) {
-	if !v.up || l.real != nil {
+	if l.real != nil {
+		l.suspend(v, d)
+		return
+	}
+	if !v.up {
 		return
 	}
 	if v.pausedSince.IsZero() {
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -61,10 +61,6 @@
 	// pauseSeeds is the first seed whose schedule also makes processes stand still and moves routes; it
 	// holds the faults of randomEvacuationSeeds too.
 	pauseSeeds = 2_000_000
-	// longestPause is the longest time for which a process stands still, and turnPause that of one of
-	// several in turn.
-	longestPause = 3500 * time.Millisecond
-	turnPause    = 800 * time.Millisecond
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// maxRandomFault is the longest time that a fault lasts.
--- a/internal/lab/packetlab/rules.go
+++ b/internal/lab/packetlab/rules.go
@@ -110,7 +110,7 @@
 // one that is not cold or has received few in the last second.
 func (l *Lab) recordSyn(s *serverVM, f packet.Flow) {
 	l.recordColdSyn(s)
-	if !l.mayLeadTo(f, s.service.Name, l.placerUndisturbed(f) && l.clock.Since(s.disturbedAt) > contactBound) {
+	if !l.mayLeadTo(f, s.service.Name, l.placerInTouch(f) && l.clock.Since(s.disturbedAt) > contactBound) {
 		l.addFinding("service: SYN of flow %s reached a server of %q", f, s.service.Name)
 	}
 	if !s.drainedAt.IsZero() && l.clock.Since(s.drainedAt) > drainBound && l.placerUndisturbed(f) {
@@ -126,6 +126,13 @@
 		!l.platform.down && l.clock.Since(l.platform.restoredAt) > contactBound
 }
 
+// placerInTouch reports whether the balancer that placed a flow was undisturbed and reached the platform for
+// contactBound, and neither failed, was slow or refused calls. Only then a change has to be in force there.
+func (l *Lab) placerInTouch(f packet.Flow) bool {
+	return l.placerUndisturbed(f) && l.clock.Since(l.platform.stableAt) > contactBound &&
+		l.clock.Since(l.placedBy[f].refusedUntil) > contactBound && (l.real == nil || l.clock.Since(l.real.lastLossAt) > contactBound)
+}
+
 // mayLeadTo reports whether a new flow may be at a server of a service: the route led there within
 // changeBound or, if it was not placed in time, by any version that was ever written.
 func (l *Lab) mayLeadTo(f packet.Flow, service string, inTime bool) bool {
--- a/internal/lab/packetlab/soak.go
+++ b/internal/lab/packetlab/soak.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/samber/lo"
 
 	"github.com/bergamotgw/bergamotgw/platform/standin"
 )
@@ -75,7 +76,11 @@
 	l.evacuates = s.Seed >= evacuationSeeds
 	l.SetRoutes(1, soakKinds, []string{soakService.Name, soakService.Name})
 	for i := range s.Servers {
-		l.AddServer(l.zones[i%len(l.zones)], soakService, 1)
+		service := soakService
+		if s.Seed >= soakPauseSeeds && i%4 >= 2 {
+			service.Name = otherService
+		}
+		l.AddServer(l.zones[i%len(l.zones)], service, 1)
 	}
 	for i := range s.Balancers {
 		l.AddBalancer(l.zones[i%len(l.zones)])
@@ -224,15 +229,17 @@
 		{"platform", 3, func(l *Lab, r *rand.Rand) string {
 			mode := standin.Mode(r.IntN(int(standin.Slow) + 1))
 			l.real.store.SetMode(mode)
-			from := l.clock.Now()
-			l.after(restartDelay(r)*2, func() { l.real.store.SetMode(standin.Up); l.delayRequests(from) })
+			from, d := l.clock.Now(), restartDelay(r)*2
+			l.platform.stableAt = lo.Latest(l.platform.stableAt, from.Add(d))
+			l.after(d, func() { l.real.store.SetMode(standin.Up); l.delayRequests(from) })
 			return fmt.Sprintf("mode %d", mode)
 		}},
 		{"refuse", 2, func(l *Lab, r *rand.Rand) string {
 			return onBalancer(l, r, func(i int) {
-				ip := l.balancers[i].ip
+				ip, d := l.balancers[i].ip, restartDelay(r)*2
+				l.balancers[i].refusedUntil = lo.Latest(l.balancers[i].refusedUntil, l.clock.Now().Add(d))
 				l.real.store.SetRefused(ip, true)
-				l.after(restartDelay(r)*2, func() { l.real.store.SetRefused(ip, false) })
+				l.after(d, func() { l.real.store.SetRefused(ip, false) })
 			})
 		}},
 		{"loss", 2, func(l *Lab, r *rand.Rand) string {
@@ -266,9 +273,64 @@
 			return fmt.Sprintf("%s for %v", zone, d)
 		}})
 	}
+	if s.Seed >= soakPauseSeeds {
+		if s.Seed%2 == 0 {
+			list = lo.Filter(list, func(f fault, _ int) bool { return slices.Contains(besidePauses, f.name) })
+		}
+		list = append(list, s.pauseFaults()...)
+	}
 	return list
 }
 
+// soakPauseSeeds is the first seed whose schedule also makes processes stand still for longer and in turn,
+// and moves routes between two services.
+const soakPauseSeeds = 1_000_000
+
+// besidePauses are the other faults of even seeds. None of them makes balancers read the platform, or ends
+// the time in which a change must be in force.
+var besidePauses = []string{"killAgent", "leaveAgent", "crashServer", "reload", "routes"}
+
+// otherService is the service that routes of such a seed lead to for a while.
+const otherService = "next"
+
+// pauseFaults returns the kinds of fault from soakPauseSeeds on.
+func (s Soak) pauseFaults() []fault {
+	return []fault{
+		{"pauseBalancerLong", 2, func(l *Lab, r *rand.Rand) string {
+			return onBalancer(l, r, func(i int) { l.suspend(l.balancers[i].vm, pauseTime(r)) })
+		}},
+		{"pauseAgentLong", 2, func(l *Lab, r *rand.Rand) string {
+			return onServer(l, r, func(i int) { l.suspend(l.servers[i].vm, pauseTime(r)) })
+		}},
+		{"pauseInTurn", 2, func(l *Lab, r *rand.Rand) string {
+			steps := 10 + r.IntN(20)
+			l.PauseInTurn(steps, turnPause)
+			return fmt.Sprintf("%d steps", steps)
+		}},
+		{"moveRoutes", 4, func(l *Lab, r *rand.Rand) string {
+			all, d := r.IntN(3) == 0, pauseTime(r)*time.Duration(1+r.IntN(4))
+			if r.IntN(3) == 0 {
+				d /= 10
+			}
+			to := []string{otherService, soakService.Name}
+			if all {
+				to[1] = otherService
+			}
+			l.SetRoutes(l.platform.newest.Version+uint64(1+r.IntN(5)), soakKinds, to)
+			l.after(d, func() {
+				l.SetRoutes(l.platform.newest.Version+uint64(1+r.IntN(5)), soakKinds, []string{soakService.Name, soakService.Name})
+			})
+			return fmt.Sprintf("%v for %v", to, d)
+		}},
+	}
+}
+
+// pauseTime draws how long a process stands still: 0.3 s to longestPause.
+func pauseTime(r *rand.Rand) time.Duration {
+	const least = 300 * time.Millisecond
+	return least + time.Duration(r.Int64N(int64(longestPause-least)))
+}
+
 // maxBackupAge is the greatest age of the backups from which the platform returns in a soak.
 const maxBackupAge = 10 * time.Second
 
