Close three gaps in the proofs of readings and in the history of routes

Cause, by reading the change: a process that stood still between computing the ages of a round of digests and taking the numbers that they return stated ages that were too young; a version that was fetched counted as in force at the time of its arrival, which may have waited; and a later version that a digest had named was forgotten if the fetch returned a still later one without its services.

Done: numbers are taken before ages; a version is confirmed only by a proved reading; a named version counts as skipped until its services are known.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -97,7 +97,8 @@
 	// firstReadAt and readAt are the times at which the first catalog and the one in
 	// force were read from the platform, by this balancer or another one, as far as is known: what
 	// another one has stated may have waited. They are not zero if the catalog has servers, and never
-	// later than now. Nothing rests on them but the order of readers and the first use of a list.
+	// later than now. Only the order of readers, the fetches of lists, and the
+	// end of the use of servers that are no longer listed rest on them.
 	firstReadAt, readAt time.Time
 	// readableSince is when the first catalog was read or, if the platform could not be read for a
 	// while before this directory was corroborated, the first one after that.
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -110,8 +110,11 @@
 
 // sendRound sends a round of digests. Those in asked are requested to answer at once.
 func (d *Directory) sendRound(targets, asked []netip.AddrPort) {
+	// The ages are computed after the numbers are taken that the digests return, else they would be
+	// those of an earlier time if this process stood still in between.
+	number, echoes := d.beginRound(targets)
 	f := d.freshness()
-	echoes := d.beginRound(targets, &f)
+	f.Number = number
 	if f.Revision == 0 {
 		f.Age = memberRetention
 	}
@@ -123,12 +126,12 @@
 	}
 }
 
-// beginRound sets the number of a round in f, and returns the latest number received from each target.
-func (d *Directory) beginRound(targets []netip.AddrPort, f *steer.Freshness) []uint16 {
+// beginRound returns the number of a round that begins now, and the latest number received from each
+// target.
+func (d *Directory) beginRound(targets []netip.AddrPort) (number uint16, echoes []uint16) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f.Number = d.rounds.Begin(d.config.Clock.Now())
-	return lo.Map(targets, func(t netip.AddrPort, _ int) uint16 { return d.members[t].number })
+	return d.rounds.Begin(d.config.Clock.Now()), lo.Map(targets, func(t netip.AddrPort, _ int) uint16 { return d.members[t].number })
 }
 
 // provers returns those of the targets of a round that are requested to prove a reading: some that have
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -37,7 +37,7 @@
 	// was replaced.
 	replaced map[uint64]time.Time
 	// skipped holds the versions that others have named and whose services are not known, with the
-	// time at which each was named first.
+	// time at which each was named first; also later ones than latest, until they are recorded.
 	skipped map[uint64]time.Time
 }
 
@@ -93,7 +93,7 @@
 	}
 	switch {
 	case h.knownSince.IsZero():
-		h.knownSince = now
+		h.knownSince, h.confirmedAt = now, now
 	case now.Sub(h.confirmedAt) > h.maxGap && !s.coversSince(h.confirmedAt, now):
 		h.knownSince = now
 	}
@@ -109,7 +109,7 @@
 		h.replaced[h.latest.Version] = now
 	}
 	delete(h.skipped, r.Version)
-	h.latest, h.confirmedAt = r, now
+	h.latest = r
 	h.expire(now)
 	return true
 }
@@ -157,14 +157,16 @@
 func (h *History) Name(version uint64, now time.Time) (unknown, first bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, known := h.replaced[version]; known || version == 0 || version >= h.latest.Version {
+	if _, known := h.replaced[version]; known || version == 0 || version == h.latest.Version {
 		return false, false
 	}
-	if h.skipped[version].IsZero() {
+	first = h.skipped[version].IsZero()
+	if first {
 		h.skipped[version] = now
-		return true, true
 	}
-	return now.Sub(h.skipped[version]) <= h.maxFlow, false
+	// A later version is fetched anyway.
+	earlier := version < h.latest.Version
+	return earlier && now.Sub(h.skipped[version]) <= h.maxFlow, earlier && first
 }
 
 // Snapshot returns what other processes may lack.
--- a/internal/routehistory/routehistory_test.go
+++ b/internal/routehistory/routehistory_test.go
@@ -17,7 +17,8 @@
 // TestHistory records versions of a route, given as "version=N services...", and prints its former
 // services, and whether the history covers the 60 s for which a flow may last. The version in force is
 // read all the while, except during "pause". "other" is the history of another process: "fetch" records
-// its latest version as that process returns it, "name" the former version that its digests name.
+// its latest version as that process returns it, "name" the former version that its digests name, or a given
+// one.
 func TestHistory(t *testing.T) {
 	now := time.Unix(1000, 0)
 	address := netip.MustParseAddrPort("198.18.0.1:443")
@@ -30,7 +31,9 @@
 			case "fetch":
 				return fmt.Sprintf("new %t", own.RecordFrom(latest, other.Snapshot(now), now))
 			case "name":
-				unknown, _ := own.Name(other.FormerVersion(now), now)
+				version := other.FormerVersion(now)
+				d.MaybeScanArgs(t, "version", &version)
+				unknown, _ := own.Name(version, now)
 				return fmt.Sprintf("unknown %t", unknown)
 			case "pause":
 				now = now.Add(lo.Must(time.ParseDuration(d.CmdArgs[0].Key)))
