--- a/internal/lab/packetlab/pause.go
+++ b/internal/lab/packetlab/pause.go
@@ -7,6 +7,10 @@
 	// several in turn.
 	longestPause = 3500 * time.Millisecond
 	turnPause    = 800 * time.Millisecond
+	// slicePause is how long a process stands still that runs in slices, and slice how long it runs in
+	// between, as on a VM that is short of processor time.
+	slicePause = 200 * time.Millisecond
+	slice      = 50 * time.Millisecond
 )
 
 // PauseBalancer makes the process of a balancer stand still for the given time.
@@ -31,6 +35,19 @@
 	}
 }
 
+// PauseInSlices makes all balancers run only in slices for the given time.
+func (l *Lab) PauseInSlices(d time.Duration) {
+	for at := time.Duration(0); at < d; at += slicePause + slice {
+		l.after(at, func() {
+			for i, b := range l.balancers {
+				if b.up {
+					l.PauseBalancer(i, slicePause)
+				}
+			}
+		})
+	}
+}
+
 // pause makes the process on a VM stand still. Datagrams wait in its sockets meanwhile, and its timers
 // fire late: it handles all of them as soon as it continues. A pause that begins during another one
 // extends it.
--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -22,6 +22,7 @@
 	evacuationCount = flag.Int("packetlab.evacuationSeeds", 8, "number of seeds of TestRandomFaults with evacuations of zones")
 	isolationCount  = flag.Int("packetlab.isolationSeeds", 8, "number of seeds of TestRandomFaults with isolated balancers")
 	balanced        = flag.Bool("packetlab.balanced", false, "whether balancers place new flows by random draws")
+	sliceCount      = flag.Int("packetlab.sliceSeeds", 4, "number of seeds of TestRandomFaults with balancers that run in slices")
 	pauseCount      = flag.Int("packetlab.pauseSeeds", 8, "number of seeds of TestRandomFaults with processes that stand still and routes that move")
 	bootCount       = flag.Int("packetlab.bootSeeds", 9, "number of seeds of TestRandomFaults with servers that take time to listen")
 	coldCount       = flag.Int("packetlab.coldSeeds", 6, "number of seeds of TestRandomFaults with limits of new flows at cold servers")
@@ -61,6 +62,8 @@
 	// pauseSeeds is the first seed whose schedule also makes processes stand still and moves routes; it
 	// holds the faults of randomEvacuationSeeds too.
 	pauseSeeds = 2_000_000
+	// sliceSeeds is the first of these seeds whose schedule also makes balancers run in slices.
+	sliceSeeds = 2_500_000
 	// largeSeeds is the first seed whose service has more servers than one envelope can list.
 	largeSeeds = 1_000_000
 	// maxRandomFault is the longest time that a fault lasts.
@@ -101,6 +104,9 @@
 	for seed := uint64(pauseSeeds); seed < pauseSeeds+uint64(*pauseCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
+	for seed := uint64(sliceSeeds); seed < sliceSeeds+uint64(*sliceCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+	}
 	for seed := uint64(largeSeeds); seed < largeSeeds+uint64(*largeCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
 	}
@@ -156,6 +162,9 @@
 	}
 	if seed >= pauseSeeds {
 		kinds = 23
+		if seed >= sliceSeeds {
+			kinds = 24
+		}
 		// Flows may be lost only if the balancers know all former services, which takes them so long.
 		l.Run(maxFlow + time.Second)
 	}
@@ -167,7 +176,7 @@
 		if seed >= pauseSeeds && pick%3 > 0 {
 			// Most faults are of the new kinds. After a loss of all processes no balancer knows the services
 			// of former flows for the rest of the run, so these are rare.
-			kind = 18 + kind%5
+			kind = 18 + kind%(kinds-18)
 		}
 		if (kind == 5 || kind == 6 || kind == 10) && lost >= 3 {
 			continue
@@ -269,6 +278,9 @@
 	case kind == 20 && running:
 		l.PauseAgent(s, d)
 		return fmt.Sprintf("pauseAgent %d %v", s, d)
+	case kind == 23:
+		l.PauseInSlices(d)
+		return fmt.Sprintf("pauseInSlices %v", d)
 	case kind == 21 || kind == 22:
 		moved := l.moveRoutes(kind == 22, pick, d)
 		if pick%5 > 0 && l.balancers[b].up {
--- a/internal/lab/packetlab/soak.go
+++ b/internal/lab/packetlab/soak.go
@@ -279,6 +279,13 @@
 		}
 		list = append(list, s.pauseFaults()...)
 	}
+	if s.Seed >= soakSliceSeeds {
+		list = append(list, fault{"pauseInSlices", 3, func(l *Lab, r *rand.Rand) string {
+			d := 3 * pauseTime(r)
+			l.PauseInSlices(d)
+			return d.String()
+		}})
+	}
 	return list
 }
 
@@ -286,6 +293,9 @@
 // and moves routes between two services.
 const soakPauseSeeds = 1_000_000
 
+// soakSliceSeeds is the first of these seeds whose schedule also makes balancers run in slices.
+const soakSliceSeeds = 1_500_000
+
 // besidePauses are the other faults of even seeds. None of them makes balancers read the platform, or ends
 // the time in which a change must be in force.
 var besidePauses = []string{"killAgent", "leaveAgent", "crashServer", "reload", "routes"}
