--- a/internal/lab/packetlab/random_test.go
+++ b/internal/lab/packetlab/random_test.go
@@ -165,7 +165,7 @@
 		if seed >= sliceSeeds {
 			kinds = 24
 		}
-		// Flows may be lost only if the balancers know all former services, which takes them so long.
+		// Balancers limit a search to the services of a route once they have run for so long.
 		l.Run(maxFlow + time.Second)
 	}
 	begin := l.Elapsed()
