--- a/internal/lab/packetlab/packetlab.go
+++ b/internal/lab/packetlab/packetlab.go
@@ -70,7 +70,8 @@
 	vms map[netip.Addr]*vm
 	// flows holds the state that the checks keep for each flow.
 	flows map[flowKey]*flowRecord
-	// placedBy holds the balancer to which the latest packet of each flow was routed.
+	// placedBy holds the balancer that has handled the latest packet of each flow or, of a real process,
+	// to which it was routed.
 	placedBy map[flowKey]*balancerVM
 	// onceIDs holds the numbers of the requests that must not run twice, ranIDs those of
 	// them that have run.
