--- a/internal/lab/packetlab/balancer.go
+++ b/internal/lab/packetlab/balancer.go
@@ -298,7 +298,7 @@
 		if isNew {
 			history := o.history
 			b.lab.after(b.lab.delay(b.vm, o.vm), func() {
-				o.handle(func() { history.Name(r.Version, b.lab.clock.Now()) })
+				o.handle(func() { history.RecordNamed(r.Version, b.lab.clock.Now()) })
 			})
 		}
 	}
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -152,9 +152,9 @@
 	}
 }
 
-// Name records that a version was in force at another process. unknown is true while the services of
+// RecordNamed records that a version was in force at another process. unknown is true while the services of
 // that version are not known although they may hold flows, and first if it was not named before.
-func (h *History) Name(version uint64, now time.Time) (unknown, first bool) {
+func (h *History) RecordNamed(version uint64, now time.Time) (unknown, first bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, known := h.replaced[version]; known || version == 0 || version == h.latest.Version {
--- a/internal/routehistory/routehistory_test.go
+++ b/internal/routehistory/routehistory_test.go
@@ -33,7 +33,7 @@
 			case "name":
 				version := other.FormerVersion(now)
 				d.MaybeScanArgs(t, "version", &version)
-				unknown, _ := own.Name(version, now)
+				unknown, _ := own.RecordNamed(version, now)
 				return fmt.Sprintf("unknown %t", unknown)
 			case "pause":
 				now = now.Add(lo.Must(time.ParseDuration(d.CmdArgs[0].Key)))
